--- /dev/null
+++ b/http/src/client.rs
@@ -0,0 +1,132 @@
+use std::net::SocketAddr;
+use std::sync::Mutex;
+
+use http_types::{Body, Method, Request, Response, Url};
+use smol::net::TcpStream;
+
+use crate::{read, Error};
+
+/// Idle connections kept for one address.
+const IDLE_LIMIT: usize = 16;
+
+/// Whether a request may go over a connection that was used before.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Reuse {
+    /// Always a new connection: a failed connect then proves that no byte was written.
+    Never,
+    /// Idempotent requests only: a stale connection is replaced and the request sent again.
+    Pooled,
+}
+
+#[derive(Debug)]
+struct Idle {
+    address: SocketAddr,
+    streams: Vec<TcpStream>,
+}
+
+/// An HTTP client with a pool of idle connections.
+#[derive(Debug, Default)]
+pub struct Client {
+    idle: Mutex<Vec<Idle>>,
+}
+
+impl Client {
+    /// Makes a request to `path` on `address`.
+    ///
+    /// # Errors
+    /// Fails if the address and path make no URL.
+    pub fn request(method: Method, address: SocketAddr, path: &str) -> Result<Request, Error> {
+        let url = Url::parse(&format!("http://{address}{path}"))
+            .map_err(|error| Error::Exchange(format!("bad path `{path}`: {error}")))?;
+        Ok(Request::new(method, url))
+    }
+
+    /// Sends a request and reads the whole answer, up to `limit` bytes.
+    ///
+    /// # Errors
+    /// `Error::Connect` means that no byte was written; after every other error the request may have been seen.
+    pub async fn fetch(
+        &self,
+        address: SocketAddr,
+        mut request: Request,
+        reuse: Reuse,
+        limit: usize,
+    ) -> Result<(Response, Vec<u8>), Error> {
+        let bytes = read(request.take_body(), usize::MAX >> 1).await?;
+        if reuse == Reuse::Pooled {
+            if let Some(stream) = self.take(address) {
+                // A clone of a request comes without its body.
+                let mut first = request.clone();
+                first.set_body(bytes.clone());
+                if let Ok(answer) = self.exchange(address, stream, first, limit).await {
+                    return Ok(answer);
+                }
+            }
+        }
+        let stream = connect(address).await?;
+        request.set_body(bytes);
+        self.exchange(address, stream, request, limit).await
+    }
+
+    /// Sends a request on a new connection and returns the answer with its body unread.
+    /// Dropping the response closes the connection.
+    ///
+    /// # Errors
+    /// `Error::Connect` means that no byte was written; after every other error the request may have been seen.
+    pub async fn stream(&self, address: SocketAddr, request: Request) -> Result<Response, Error> {
+        let stream = connect(address).await?;
+        send(stream, request).await
+    }
+
+    async fn exchange(
+        &self,
+        address: SocketAddr,
+        stream: TcpStream,
+        request: Request,
+        limit: usize,
+    ) -> Result<(Response, Vec<u8>), Error> {
+        let mut response = send(stream.clone(), request).await?;
+        let body = response.take_body();
+        let bytes = read(body, limit).await?;
+        response.set_body(Body::empty());
+        self.put(address, stream);
+        Ok((response, bytes))
+    }
+
+    fn put(&self, address: SocketAddr, stream: TcpStream) {
+        let mut idle = self.idle.lock().unwrap_or_else(|error| error.into_inner());
+        match idle.binary_search_by_key(&address, |entry| entry.address) {
+            Ok(index) if idle[index].streams.len() < IDLE_LIMIT => idle[index].streams.push(stream),
+            Ok(_) => {}
+            Err(index) => idle.insert(
+                index,
+                Idle {
+                    address,
+                    streams: vec![stream],
+                },
+            ),
+        }
+    }
+
+    fn take(&self, address: SocketAddr) -> Option<TcpStream> {
+        let mut idle = self.idle.lock().unwrap_or_else(|error| error.into_inner());
+        let index = idle
+            .binary_search_by_key(&address, |entry| entry.address)
+            .ok()?;
+        idle[index].streams.pop()
+    }
+}
+
+async fn connect(address: SocketAddr) -> Result<TcpStream, Error> {
+    let stream = TcpStream::connect(address)
+        .await
+        .map_err(|error| Error::Connect(address.to_string(), error))?;
+    let _ = stream.set_nodelay(true);
+    Ok(stream)
+}
+
+async fn send(stream: TcpStream, request: Request) -> Result<Response, Error> {
+    async_h1::connect(stream, request)
+        .await
+        .map_err(|error| Error::Exchange(error.to_string()))
+}
--- /dev/null
+++ b/http/src/lib.rs
@@ -0,0 +1,26 @@
+//! HTTP/1.1 client and server helpers over `async-h1` on `smol`.
+//!
+//! The daemon, the load generator and the stand-ins share this crate, so that bounded bodies, streamed answers,
+//! caller departure and "was a byte written" are handled in one place.
+
+mod client;
+mod error;
+mod peer;
+mod pipe;
+mod reply;
+mod server;
+mod sse;
+
+pub use client::Client;
+pub use client::Reuse;
+pub use error::Error;
+pub use http_types;
+pub use peer::Peer;
+pub use pipe::pipe;
+pub use pipe::Writer;
+pub use reply::json;
+pub use reply::read;
+pub use reply::text;
+pub use reply::within;
+pub use server::Server;
+pub use sse::Events;
--- /dev/null
+++ b/http/src/peer.rs
@@ -0,0 +1,38 @@
+use std::future::Future;
+
+use futures_lite::future;
+use smol::net::TcpStream;
+
+use crate::Error;
+
+/// The other end of a server connection.
+#[derive(Clone, Debug)]
+pub struct Peer {
+    stream: TcpStream,
+}
+
+impl Peer {
+    pub(crate) fn new(stream: TcpStream) -> Self {
+        Self { stream }
+    }
+
+    /// Resolves when the caller has closed its sending side. Call it only after the request body is read.
+    ///
+    /// A caller that half-closes looks gone. A pipelined byte makes departure undetectable; the future then pends.
+    pub async fn closed(&self) {
+        let mut byte = [0];
+        match self.stream.peek(&mut byte).await {
+            Ok(0) | Err(_) => {}
+            Ok(_) => future::pending().await,
+        }
+    }
+
+    /// Runs `work` until it ends or the caller leaves, whichever is first.
+    pub async fn race<T>(&self, work: impl Future<Output = T>) -> Result<T, Error> {
+        future::or(async { Ok(work.await) }, async {
+            self.closed().await;
+            Err(Error::Closed)
+        })
+        .await
+    }
+}
--- /dev/null
+++ b/http/src/reply.rs
@@ -0,0 +1,60 @@
+use std::future::Future;
+use std::time::Duration;
+
+use futures_lite::{future, AsyncRead, AsyncReadExt};
+use http_types::{mime, Response, StatusCode};
+use serde::Serialize;
+use smol::Timer;
+
+use crate::Error;
+
+/// Reads a whole body, up to `limit` bytes.
+pub async fn read(body: impl AsyncRead + Unpin, limit: usize) -> Result<Vec<u8>, Error> {
+    let mut bytes = Vec::new();
+    let mut bounded = body.take(limit as u64 + 1);
+    bounded
+        .read_to_end(&mut bytes)
+        .await
+        .map_err(|error| Error::Exchange(error.to_string()))?;
+    if bytes.len() > limit {
+        return Err(Error::TooLarge(limit));
+    }
+    Ok(bytes)
+}
+
+/// Makes a JSON answer.
+pub fn json(status: u16, value: &impl Serialize) -> Response {
+    let mut response = Response::new(code(status));
+    match serde_json::to_vec(value) {
+        Ok(bytes) => response.set_body(bytes),
+        Err(_) => response.set_status(StatusCode::InternalServerError),
+    }
+    response.set_content_type(mime::JSON);
+    response
+}
+
+/// Makes a plain-text answer.
+pub fn text(status: u16, value: impl Into<String>) -> Response {
+    let mut response = Response::new(code(status));
+    response.set_body(value.into());
+    response
+}
+
+/// Gives `work` at most `limit`; what it had started is dropped after that.
+///
+/// # Errors
+/// `Error::Timeout` after `limit`, or the error of `work`.
+pub async fn within<T>(
+    limit: Duration,
+    work: impl Future<Output = Result<T, Error>>,
+) -> Result<T, Error> {
+    future::or(work, async {
+        Timer::after(limit).await;
+        Err(Error::Timeout)
+    })
+    .await
+}
+
+fn code(status: u16) -> StatusCode {
+    StatusCode::try_from(status).unwrap_or(StatusCode::InternalServerError)
+}
--- /dev/null
+++ b/http/src/sse.rs
@@ -0,0 +1,42 @@
+use futures_lite::{AsyncBufRead, AsyncBufReadExt, AsyncReadExt};
+
+use crate::Error;
+
+/// Longest accepted event line in bytes.
+const EVENT_LIMIT: u64 = 1 << 20;
+
+/// Reads the `data:` lines of a server-sent event stream.
+#[derive(Debug)]
+pub struct Events<R> {
+    reader: R,
+}
+
+impl<R: AsyncBufRead + Unpin> Events<R> {
+    /// Reads events from a body.
+    pub fn new(reader: R) -> Self {
+        Self { reader }
+    }
+
+    /// Returns the next event's data, or `None` at the end of the body.
+    pub async fn next(&mut self) -> Result<Option<String>, Error> {
+        loop {
+            let mut line = Vec::new();
+            let count = (&mut self.reader)
+                .take(EVENT_LIMIT)
+                .read_until(b'\n', &mut line)
+                .await
+                .map_err(|error| Error::Exchange(error.to_string()))?;
+            if count == 0 {
+                return Ok(None);
+            }
+            if line.last() != Some(&b'\n') {
+                return Err(Error::Exchange("event line is cut off or too long".into()));
+            }
+            let line = std::str::from_utf8(&line)
+                .map_err(|_| Error::Exchange("event is not UTF-8".into()))?;
+            if let Some(data) = line.trim_end().strip_prefix("data:") {
+                return Ok(Some(data.trim_start().to_owned()));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/http/tests/exchange.rs
@@ -0,0 +1,148 @@
+//! Guards against lost bytes in large bodies, buffered streams and unnoticed callers.
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures_lite::AsyncReadExt;
+use jujubehook_http::http_types::{Method, Request, Response};
+use jujubehook_http::{json, pipe, read, within, Client, Error, Events, Peer, Reuse, Server};
+
+const LIMIT: usize = 8 << 20;
+
+fn free() -> SocketAddr {
+    (Ipv4Addr::LOCALHOST, 0).into()
+}
+
+async fn count(mut request: Request, _: Peer) -> Response {
+    match read(request.take_body(), LIMIT).await {
+        Ok(bytes) => json(200, &bytes.len()),
+        Err(_) => json(413, &0),
+    }
+}
+
+#[test]
+fn large_body() {
+    smol::block_on(async {
+        let server = Server::start(free(), count).await.unwrap();
+        let client = Client::default();
+        for size in [0, 1, 4_000_000, 4_000_000, LIMIT + 1] {
+            let mut request = Client::request(Method::Post, server.address(), "/").unwrap();
+            request.set_body(vec![b'a'; size]);
+            let (response, bytes) = client
+                .fetch(server.address(), request, Reuse::Pooled, 100)
+                .await
+                .unwrap();
+            let expected = if size > LIMIT { (413, 0) } else { (200, size) };
+            let seen: usize = serde_json::from_slice(&bytes).unwrap();
+            assert_eq!((u16::from(response.status()), seen), expected);
+        }
+    });
+}
+
+#[test]
+fn streamed_events() {
+    smol::block_on(async {
+        let server = Server::start(free(), |_: Request, _: Peer| async {
+            let (writer, body) = pipe();
+            smol::spawn(async move {
+                for index in 0..50 {
+                    writer.send(format!("data: {index}\n\n")).await.unwrap();
+                }
+            })
+            .detach();
+            let mut response = Response::new(200);
+            response.set_body(body);
+            response
+        })
+        .await
+        .unwrap();
+        let request = Client::request(Method::Get, server.address(), "/").unwrap();
+        let response = Client::default()
+            .stream(server.address(), request)
+            .await
+            .unwrap();
+        let mut events = Events::new(response);
+        for index in 0..50 {
+            assert_eq!(events.next().await.unwrap(), Some(index.to_string()));
+        }
+        assert_eq!(events.next().await.unwrap(), None);
+    });
+}
+
+#[test]
+fn caller_leaves() {
+    smol::block_on(async {
+        let (left, seen) = async_channel::bounded(1);
+        let server = Server::start(free(), move |mut request: Request, peer: Peer| {
+            let left = left.clone();
+            async move {
+                let _ = read(request.take_body(), LIMIT).await;
+                let forever = futures_lite::future::pending::<()>();
+                let outcome = peer.race(forever).await;
+                let _ = left.send(matches!(outcome, Err(Error::Closed))).await;
+                Response::new(200)
+            }
+        })
+        .await
+        .unwrap();
+        let mut request = Client::request(Method::Post, server.address(), "/").unwrap();
+        request.set_body("x");
+        let client = Client::default();
+        let call = client.stream(server.address(), request);
+        let outcome = within(Duration::from_millis(200), call).await;
+        assert!(matches!(outcome, Err(Error::Timeout)));
+        let noticed = within(Duration::from_secs(2), async { Ok(seen.recv().await) }).await;
+        assert!(noticed.unwrap().unwrap());
+    });
+}
+
+#[test]
+fn refused_connect() {
+    smol::block_on(async {
+        let server = Server::start(free(), count).await.unwrap();
+        let address = server.address();
+        drop(server);
+        let request = Client::request(Method::Get, address, "/").unwrap();
+        let error = Client::default().stream(address, request).await.err();
+        assert!(error.is_some_and(|error| error.unsent()));
+    });
+}
+
+#[test]
+fn dropped_server() {
+    smol::block_on(async {
+        let hits = Arc::new(AtomicU32::new(0));
+        let counter = hits.clone();
+        let server = Server::start(free(), move |_: Request, _: Peer| {
+            counter.fetch_add(1, Ordering::Relaxed);
+            async {
+                let (writer, body) = pipe();
+                smol::spawn(async move {
+                    let _ = writer.send("x").await;
+                    futures_lite::future::pending::<()>().await;
+                })
+                .detach();
+                let mut response = Response::new(200);
+                response.set_body(body);
+                response
+            }
+        })
+        .await
+        .unwrap();
+        let request = Client::request(Method::Get, server.address(), "/").unwrap();
+        let mut response = Client::default()
+            .stream(server.address(), request)
+            .await
+            .unwrap();
+        let mut byte = [0];
+        response.read_exact(&mut byte).await.unwrap();
+        drop(server);
+        let rest = within(Duration::from_secs(2), async {
+            Ok(response.read(&mut byte).await)
+        });
+        assert!(!matches!(rest.await.unwrap(), Ok(count) if count > 0));
+        assert_eq!(hits.load(Ordering::Relaxed), 1);
+    });
+}
--- /dev/null
+++ b/model/src/claim.rs
@@ -0,0 +1,1 @@
+//! Specification of the claim protocol.
--- /dev/null
+++ b/model/src/controller.rs
@@ -0,0 +1,1 @@
+//! Specification of the controller protocol.
--- /dev/null
+++ b/model/src/ownership.rs
@@ -0,0 +1,1 @@
+//! Specification of the ownership protocol.
--- /dev/null
+++ b/src/bin/jujubehook.rs
@@ -0,0 +1,2 @@
+//! Entry point.
+fn main() {}
--- /dev/null
+++ b/src/claim/mod.rs
@@ -0,0 +1,1 @@
+//! Calls that may not be repeated: claims and recorded outcomes.
--- /dev/null
+++ b/src/clock/mod.rs
@@ -0,0 +1,1 @@
+//! Monotonic time, wall time and the logical clock of one process.
--- /dev/null
+++ b/src/command/mod.rs
@@ -0,0 +1,1 @@
+//! Subcommands of the `jujubehook` command line.
--- /dev/null
+++ b/src/daemon/mod.rs
@@ -0,0 +1,1 @@
+//! The daemon: caller API, peer API and background loops.
--- /dev/null
+++ b/src/error/mod.rs
@@ -0,0 +1,81 @@
+//! Closed list of error kinds and the table from kind to answer.
+
+mod kind;
+
+use std::time::Duration;
+
+use quick_error::quick_error;
+use serde::Serialize;
+
+pub use kind::Executed;
+pub use kind::Kind;
+
+quick_error! {
+    /// An error with what the caller has to know about it.
+    #[derive(Clone, Debug, Eq, PartialEq)]
+    pub enum Error {
+        /// A request or an operation failed.
+        Failed(kind: Kind, message: String, retry_after: Option<Duration>) {
+            display("{}: {message}", kind.name())
+        }
+    }
+}
+
+/// Shape of an error answer: `{"error":{"kind","message","executed","retry_after_ms"}}`.
+#[derive(Clone, Debug, Serialize)]
+pub struct Answer {
+    error: Body,
+}
+
+#[derive(Clone, Debug, Serialize)]
+struct Body {
+    executed: Executed,
+    kind: &'static str,
+    message: String,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    retry_after_ms: Option<u64>,
+}
+
+impl Error {
+    /// Makes an error of `kind`.
+    pub fn new(kind: Kind, message: impl Into<String>) -> Self {
+        Error::Failed(kind, message.into(), None)
+    }
+
+    /// Adds the time after which a repeat has a chance.
+    pub fn retry_after(self, after: Duration) -> Self {
+        let Error::Failed(kind, message, _) = self;
+        Error::Failed(kind, message, Some(after))
+    }
+
+    /// The answer's body.
+    pub fn answer(&self) -> Answer {
+        let Error::Failed(kind, message, after) = self;
+        Answer {
+            error: Body {
+                executed: kind.executed(),
+                kind: kind.name(),
+                message: message.clone(),
+                retry_after_ms: after.map(|after| after.as_millis() as u64),
+            },
+        }
+    }
+
+    /// The kind of the error.
+    pub fn kind(&self) -> Kind {
+        let Error::Failed(kind, ..) = self;
+        *kind
+    }
+
+    /// The message without the kind.
+    pub fn message(&self) -> &str {
+        let Error::Failed(_, message, _) = self;
+        message
+    }
+
+    /// Time after which a repeat has a chance, if known.
+    pub fn wait(&self) -> Option<Duration> {
+        let Error::Failed(_, _, after) = self;
+        *after
+    }
+}
--- /dev/null
+++ b/src/event/mod.rs
@@ -0,0 +1,1 @@
+//! Log set-up and the timeline of events across processes.
--- /dev/null
+++ b/src/gang/mod.rs
@@ -0,0 +1,1 @@
+//! Prompts that need several engines: reservation and release.
--- /dev/null
+++ b/src/id/mod.rs
@@ -0,0 +1,42 @@
+//! Type aliases of ids and counters.
+
+/// Unguessable id of one attempt of a request; written as 16 hexadecimal digits.
+pub type AttemptId = u64;
+
+/// Name of a failure domain.
+pub type DomainId = String;
+
+/// Fencing number: the log offset of a controller lease.
+pub type Fence = u64;
+
+/// Number drawn anew at each start of a process.
+pub type Incarnation = u64;
+
+/// Name of an instance.
+pub type InstanceId = String;
+
+/// Name of a model.
+pub type ModelId = String;
+
+/// Position in a log stream, from 1; 0 means nothing read yet.
+pub type Offset = u64;
+
+/// Id of a request, the same on all hops; written as 16 hexadecimal digits.
+pub type RequestId = u64;
+
+/// Name of a target.
+pub type TargetId = String;
+
+/// Count of tokens.
+pub type Tokens = u64;
+
+/// Name of a workspace.
+pub type WorkspaceId = String;
+
+/// Bytes of text that count as one token.
+pub const TOKEN_BYTES: usize = 4;
+
+/// Returns the number of tokens in `bytes` bytes of text, rounded up.
+pub fn tokens(bytes: usize) -> Tokens {
+    bytes.div_ceil(TOKEN_BYTES) as Tokens
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,24 @@
+//! Serving layer for model prompts of very unlike lengths.
+//!
+//! The decision modules are state machines without I/O and without a clock; the daemon, the model checker and the
+//! tests drive the same code. `docs/design.md` describes them.
+
+pub mod claim;
+pub mod clock;
+pub mod command;
+pub mod daemon;
+pub mod error;
+pub mod event;
+pub mod gang;
+pub mod id;
+pub mod load;
+pub mod metric;
+pub mod order;
+pub mod owner;
+pub mod platform;
+pub mod record;
+pub mod retry;
+pub mod route;
+pub mod settings;
+pub mod target;
+pub mod wire;
--- /dev/null
+++ b/src/load/mod.rs
@@ -0,0 +1,1 @@
+//! Load generator, embedded fleet and report.
--- /dev/null
+++ b/src/metric/mod.rs
@@ -0,0 +1,1 @@
+//! Prometheus metrics of the daemon.
--- /dev/null
+++ b/src/order/mod.rs
@@ -0,0 +1,1 @@
+//! Controller lease with fencing, orders to engines, weight-store pacing.
--- /dev/null
+++ b/src/owner/mod.rs
@@ -0,0 +1,1 @@
+//! Which instance owns a target: heartbeats, leases and handover.
--- /dev/null
+++ b/src/record/mod.rs
@@ -0,0 +1,1 @@
+//! Configuration records: schema versions, fold, snapshot and queries.
--- /dev/null
+++ b/src/retry/mod.rs
@@ -0,0 +1,1 @@
+//! Retry budget and outlier ejection.
--- /dev/null
+++ b/src/route/mod.rs
@@ -0,0 +1,1 @@
+//! Choice of the target that gets a request.
--- /dev/null
+++ b/src/settings/mod.rs
@@ -0,0 +1,1 @@
+//! Daemon settings, read from TOML and checked before start.
--- /dev/null
+++ b/src/target/mod.rs
@@ -0,0 +1,1 @@
+//! Scheduling on one target: state, limits, queue and admission.
--- /dev/null
+++ b/src/wire/mod.rs
@@ -0,0 +1,1 @@
+//! Messages between instances and their codec.
--- /dev/null
+++ b/standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
