owner: Add heartbeats, leases and handover of targets

Cause: the daemon needs to know which instance may dispatch to a target. Acquire sequences are per target; grants name the asker's incarnation. Heartbeats announce a new instance one suspicion window before its quarantine ends, so that its join stops no owner.

--- /dev/null
+++ b/src/owner/beat.rs
@@ -0,0 +1,26 @@
+use serde::{Deserialize, Serialize};
+
+use crate::id::{Incarnation, InstanceId, Offset};
+
+/// Heartbeat from one instance to one other of its domain.
+#[derive(Clone, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
+pub struct Beat {
+    /// Sequence of the last heartbeat that the sender received from the receiver; 0 if none.
+    pub echo: u64,
+    /// Incarnation of the receiver that `echo` refers to; 0 if none.
+    pub echo_incarnation: Incarnation,
+    /// The sender.
+    pub from: InstanceId,
+    /// Incarnation of the sender.
+    pub incarnation: Incarnation,
+    /// Whether the sender is shutting down.
+    pub leaving: bool,
+    /// Offset of the records that are in force at the sender.
+    pub offset: Offset,
+    /// Number of this heartbeat, from 1, counted per receiver.
+    pub sequence: u64,
+    /// Whether the sender may own targets or will do so within the suspicion window.
+    pub settled: bool,
+    /// Logical time of the sender; the daemon fills it in.
+    pub time: u64,
+}
--- /dev/null
+++ b/src/owner/peer.rs
@@ -0,0 +1,108 @@
+use std::time::Duration;
+
+use super::Beat;
+use crate::id::{Incarnation, InstanceId, Offset};
+
+/// Earlier incarnations of a peer that are remembered, so that their late heartbeats are dropped.
+const RETIRED: usize = 8;
+
+/// What a table knows about one other instance of the domain.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+pub(super) struct Peer {
+    /// Send time of the most recent own heartbeat that the peer has echoed.
+    pub(super) echoed: Option<Duration>,
+    /// Time at which the last heartbeat was received.
+    pub(super) heard: Option<Duration>,
+    pub(super) id: InstanceId,
+    pub(super) incarnation: Incarnation,
+    pub(super) leaving: bool,
+    pub(super) offset: Offset,
+    /// Sequence of the last heartbeat received from the peer.
+    pub(super) received: u64,
+    retired: Vec<Incarnation>,
+    /// Own heartbeats to the peer that are younger than a lease: sequence and send time.
+    sent: Vec<(u64, Duration)>,
+    /// Sequence of the last own heartbeat to the peer.
+    sequence: u64,
+    pub(super) settled: bool,
+}
+
+impl Peer {
+    pub(super) fn new(id: InstanceId) -> Self {
+        Self {
+            echoed: None,
+            heard: None,
+            id,
+            incarnation: 0,
+            leaving: false,
+            offset: 0,
+            received: 0,
+            retired: Vec::new(),
+            sent: Vec::new(),
+            sequence: 0,
+            settled: false,
+        }
+    }
+
+    /// Whether a heartbeat was exchanged within `window`.
+    pub(super) fn active(&self, window: Duration, now: Duration) -> bool {
+        let sent = self.sent.last().map(|(_, at)| *at);
+        self.heard
+            .max(sent)
+            .is_some_and(|at| now.saturating_sub(at) < window)
+    }
+
+    /// Takes in a heartbeat for incarnation `me`; returns whether it was new.
+    pub(super) fn hear(&mut self, beat: &Beat, me: Incarnation, now: Duration) -> bool {
+        if self.retired.contains(&beat.incarnation) {
+            return false;
+        }
+        if self.incarnation != beat.incarnation {
+            self.replace(beat.incarnation);
+        }
+        if beat.sequence <= self.received {
+            return false;
+        }
+        self.heard = Some(now);
+        self.leaving = beat.leaving;
+        self.offset = beat.offset;
+        self.received = beat.sequence;
+        self.settled = beat.settled;
+        if beat.echo_incarnation == me {
+            self.echo(beat.echo);
+        }
+        true
+    }
+
+    /// Whether the last heartbeat is younger than `window`.
+    pub(super) fn heard_within(&self, window: Duration, now: Duration) -> bool {
+        self.heard.is_some_and(|at| now.saturating_sub(at) < window)
+    }
+
+    /// Records a heartbeat to the peer and returns its sequence.
+    pub(super) fn send(&mut self, lease: Duration, now: Duration) -> u64 {
+        self.sent.retain(|(_, at)| now.saturating_sub(*at) < lease);
+        self.sequence += 1;
+        self.sent.push((self.sequence, now));
+        self.sequence
+    }
+
+    fn echo(&mut self, sequence: u64) {
+        let Ok(index) = self.sent.binary_search_by_key(&sequence, |(sent, _)| *sent) else {
+            return;
+        };
+        self.echoed = self.echoed.max(Some(self.sent[index].1));
+    }
+
+    fn replace(&mut self, incarnation: Incarnation) {
+        if self.heard.is_some() {
+            self.retired.push(self.incarnation);
+        }
+        if self.retired.len() > RETIRED {
+            self.retired.remove(0);
+        }
+        self.echoed = None;
+        self.incarnation = incarnation;
+        self.received = 0;
+    }
+}
--- /dev/null
+++ b/tests/owner_handover.rs
@@ -0,0 +1,167 @@
+//! Guards against gaps and double ownership in planned handovers, and against harm by stale grants.
+
+mod owner_net;
+
+use std::time::Duration;
+
+use jujubehook::owner::{Acquire, Action, Grant, Settings, Table};
+use owner_net::Net;
+
+const TARGETS: usize = 16;
+
+#[test]
+fn join_moves() {
+    let mut net = Net::new(&["a"], TARGETS);
+    net.run(4000);
+    net.join("b");
+    net.gained.clear();
+    net.gap = 0;
+    net.run(4000);
+    assert!(net.owned("b") > 0);
+    assert_eq!(net.owned("a") + net.owned("b"), TARGETS);
+    assert!(net
+        .gained
+        .iter()
+        .all(|(id, _, planned, in_flight)| id == "b" && *planned && *in_flight == 2));
+    assert_eq!(net.lost.len(), net.owned("b"), "only what moves is lost");
+    assert_eq!(net.gap, 0);
+}
+
+#[test]
+fn shutdown_moves() {
+    let mut net = Net::new(&["a", "b", "c"], TARGETS);
+    net.run(4000);
+    let moving = net.owned("c");
+    net.gained.clear();
+    net.lost.clear();
+    net.act("c", |table, now| table.leave(now));
+    net.run(1000);
+    assert_eq!(net.owned("c"), 0);
+    assert_eq!(net.owned("a") + net.owned("b"), TARGETS);
+    assert_eq!(net.gained.len(), moving);
+    assert!(net.gained.iter().all(|(_, _, planned, _)| *planned));
+    net.nodes.remove("c");
+    net.run(4000);
+    assert_eq!(net.lost.len(), moving, "the exit itself moves nothing");
+}
+
+#[test]
+fn leave_alone() {
+    let mut net = Net::new(&["a"], TARGETS);
+    net.run(4000);
+    net.act("a", |table, now| table.leave(now));
+    net.run(1000);
+    assert_eq!(
+        net.owned("a"),
+        TARGETS,
+        "without a successor the owner goes on"
+    );
+    net.act("a", |table, now| table.set_targets(vec!["t1".into()], now));
+    assert_eq!(net.lost.len(), TARGETS - 1);
+}
+
+#[test]
+fn lost_requests() {
+    let mut net = Net::new(&["a", "b", "c"], TARGETS);
+    net.run(4000);
+    net.join("b");
+    net.run(2500);
+    net.cut("b", "c");
+    net.run(1000);
+    net.cuts.clear();
+    net.run(1000);
+    assert_eq!(net.owned("a") + net.owned("b") + net.owned("c"), TARGETS);
+}
+
+/// Returns the first request for grants of a settled `b` that knows `a`, and both tables.
+fn asking() -> (Table, Table, Acquire, Duration) {
+    let at = |step: u32| Duration::from_millis(100) * step;
+    let mut a = Table::new("a".into(), 1, Settings::default(), at(0));
+    let mut b = Table::new("b".into(), 2, Settings::default(), at(0));
+    let targets: Vec<String> = (0..8).map(|index| format!("t{index}")).collect();
+    a.set_targets(targets.clone(), at(0));
+    b.set_targets(targets, at(0));
+    for step in 1..100 {
+        let beat = b.beat(&"a".into(), at(step));
+        a.hear(&beat, at(step));
+        let beat = a.beat(&"b".into(), at(step));
+        b.hear(&beat, at(step));
+        a.tick(at(step));
+        for action in b.tick(at(step)) {
+            if let Action::Acquire { message, .. } = action {
+                return (a, b, message, at(step));
+            }
+        }
+    }
+    panic!("no request for grants");
+}
+
+fn gained(actions: &[Action]) -> usize {
+    actions
+        .iter()
+        .filter(|action| matches!(action, Action::Gained { .. }))
+        .count()
+}
+
+#[test]
+fn stale_grants() {
+    let (mut a, b, message, now) = asking();
+    let (grant, _) = a.acquire(&message, |_| 0, now);
+    let count = grant.targets.len();
+    assert!(count > 0);
+    let mut wrong = vec![
+        Grant {
+            incarnation: 9,
+            ..grant.clone()
+        },
+        Grant {
+            to_incarnation: 9,
+            ..grant.clone()
+        },
+        Grant {
+            to: "c".into(),
+            ..grant.clone()
+        },
+        Grant {
+            from: "c".into(),
+            ..grant.clone()
+        },
+        grant.clone(),
+    ];
+    for holding in &mut wrong[4].targets {
+        holding.sequence += 1;
+    }
+    for stale in wrong {
+        let mut b = b.clone();
+        assert_eq!(gained(&b.grant(&stale, now)), 0, "{stale:?}");
+    }
+    let mut b = b.clone();
+    assert_eq!(gained(&b.grant(&grant, now)), count);
+    assert_eq!(
+        gained(&b.grant(&grant, now)),
+        0,
+        "a doubled grant changes nothing"
+    );
+}
+
+#[test]
+fn refused_strangers() {
+    let (mut a, _, message, now) = asking();
+    let restarted = Acquire {
+        incarnation: 9,
+        ..message.clone()
+    };
+    let stranger = Acquire {
+        from: "c".into(),
+        ..message.clone()
+    };
+    for ask in [restarted, stranger] {
+        assert!(a.acquire(&ask, |_| 0, now).0.targets.is_empty());
+    }
+    let later = now + Duration::from_secs(20);
+    a.tick(later);
+    assert!(
+        a.acquire(&message, |_| 0, later).0.targets.is_empty(),
+        "in quarantine after a pause"
+    );
+}
