platform, event, clock, metric: add clients, logs and metrics

The daemon needs the log and the instance list, event lines that can be ordered across processes, and metrics of its own.

An append is never sent twice; its error says whether the entry is certainly not in the log (no connection, 429, or a 503 whose body states that it was not executed) or may be. A page over the answer limit is read again with fewer entries, and a page with offsets out of order is an error. clock::Clock holds the monotonic, wall and logical time. event! logs one line with instance, domain and logical time. metric::Registry belongs to one instance and maps label values outside of their closed list to `other`; docs/metrics.md lists the metrics.

--- a/src/clock/mod.rs
+++ b/src/clock/mod.rs
@@ -1,1 +1,67 @@
-//! Monotonic time, wall time and the logical clock of one process.
+//! Monotonic time, wall time and the logical clock of one instance.
+
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+/// The clocks of one instance; shared by `Arc`.
+#[derive(Debug)]
+pub struct Clock {
+    logical: AtomicU64,
+    start: Instant,
+}
+
+impl Clock {
+    /// Starts the clocks at zero.
+    pub fn new() -> Self {
+        Self {
+            logical: AtomicU64::new(0),
+            start: Instant::now(),
+        }
+    }
+
+    /// Takes over the logical time of a received message, so that later events are ordered after its sender's.
+    pub fn merge(&self, time: u64) {
+        self.logical.fetch_max(time, Ordering::AcqRel);
+    }
+
+    /// Monotonic time since the clock was made.
+    pub fn now(&self) -> Duration {
+        self.start.elapsed()
+    }
+
+    /// Advances the logical clock and returns the time of the event or message that it is called for.
+    pub fn tick(&self) -> u64 {
+        let mut time = self.logical.load(Ordering::Acquire);
+        loop {
+            // A peer that sent the highest value must not make the clock wrap around.
+            let next = time.saturating_add(1);
+            match self.logical.compare_exchange_weak(
+                time,
+                next,
+                Ordering::AcqRel,
+                Ordering::Acquire,
+            ) {
+                Ok(_) => return next,
+                Err(current) => time = current,
+            }
+        }
+    }
+
+    /// The logical time of the last event, without advancing it.
+    pub fn time(&self) -> u64 {
+        self.logical.load(Ordering::Acquire)
+    }
+
+    /// Wall time in milliseconds since the Unix epoch; 0 if the system clock is before it.
+    pub fn unix_ms(&self) -> u64 {
+        SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .map_or(0, |age| age.as_millis() as u64)
+    }
+}
+
+impl Default for Clock {
+    fn default() -> Self {
+        Self::new()
+    }
+}
--- /dev/null
+++ b/src/metric/build.rs
@@ -0,0 +1,66 @@
+use prometheus::{core::Collector, Gauge};
+use prometheus::{
+    Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
+    Result,
+};
+
+/// Prefix of all names.
+const NAMESPACE: &str = "jujubehook";
+
+fn register<T: Clone + Collector + 'static>(registry: &Registry, metric: T) -> Result<T> {
+    registry.register(Box::new(metric.clone()))?;
+    Ok(metric)
+}
+
+fn options(name: &str, help: &str) -> Opts {
+    Opts::new(name, help).namespace(NAMESPACE)
+}
+
+fn buckets(name: &str, help: &str, bounds: &[f64]) -> HistogramOpts {
+    HistogramOpts::new(name, help)
+        .namespace(NAMESPACE)
+        .buckets(bounds.to_vec())
+}
+
+pub(super) fn counter(registry: &Registry, name: &str, help: &str) -> Result<IntCounter> {
+    register(registry, IntCounter::with_opts(options(name, help))?)
+}
+
+pub(super) fn counters(
+    registry: &Registry,
+    name: &str,
+    help: &str,
+    labels: &[&str],
+) -> Result<IntCounterVec> {
+    register(registry, IntCounterVec::new(options(name, help), labels)?)
+}
+
+pub(super) fn gauge(registry: &Registry, name: &str, help: &str) -> Result<IntGauge> {
+    register(registry, IntGauge::with_opts(options(name, help))?)
+}
+
+pub(super) fn histogram(
+    registry: &Registry,
+    name: &str,
+    help: &str,
+    bounds: &[f64],
+) -> Result<Histogram> {
+    register(registry, Histogram::with_opts(buckets(name, help, bounds))?)
+}
+
+pub(super) fn histograms(
+    registry: &Registry,
+    name: &str,
+    help: &str,
+    labels: &[&str],
+    bounds: &[f64],
+) -> Result<HistogramVec> {
+    register(
+        registry,
+        HistogramVec::new(buckets(name, help, bounds), labels)?,
+    )
+}
+
+pub(super) fn seconds(registry: &Registry, name: &str, help: &str) -> Result<Gauge> {
+    register(registry, Gauge::with_opts(options(name, help))?)
+}
--- /dev/null
+++ b/src/metric/registry.rs
@@ -0,0 +1,242 @@
+use std::time::Duration;
+
+use prometheus::{
+    Gauge, Histogram, HistogramVec, IntCounter, IntCounterVec, IntGauge, Result, TextEncoder,
+};
+
+use super::build::{counter, counters, gauge, histogram, histograms, seconds};
+use super::label::{bounded, outcomes, CLAIMS, CLASSES, GANGS, OK, STATES};
+use crate::error::Kind;
+use crate::id::{Offset, Tokens};
+
+/// Bounds in seconds from a short prompt's first token to that of a million tokens.
+const LONG_BOUNDS: &[f64] = &[
+    0.01, 0.025, 0.05, 0.1, 0.2, 0.38, 0.6, 1.0, 2.5, 5.0, 10.0, 30.0, 60.0, 120.0, 300.0,
+];
+
+/// Bounds in seconds around the target of 32 ms between tokens and up to the stall timeout.
+const SHORT_BOUNDS: &[f64] = &[
+    0.002, 0.004, 0.008, 0.016, 0.032, 0.064, 0.128, 0.25, 0.5, 1.0, 2.5, 5.0, 10.0,
+];
+
+/// The metrics of one instance.
+#[derive(Debug)]
+pub struct Registry {
+    claims: IntCounterVec,
+    control_sent_bytes: IntCounter,
+    dispatches: IntCounterVec,
+    forwarded: IntCounter,
+    gangs: IntCounterVec,
+    generated_tokens: IntCounter,
+    heartbeat_age: Histogram,
+    heartbeat_oldest: Gauge,
+    owned_targets: IntGauge,
+    prompt_tokens: IntCounterVec,
+    queue_wait: HistogramVec,
+    record_offset: IntGauge,
+    registry: prometheus::Registry,
+    requests: IntCounterVec,
+    retries: IntCounter,
+    time_between_tokens: Histogram,
+    time_to_first_token: HistogramVec,
+}
+
+impl Registry {
+    /// Registers all metrics; each series of a closed label starts at zero.
+    ///
+    /// # Errors
+    /// Fails if two metrics have the same name.
+    pub fn new() -> Result<Self> {
+        let r = prometheus::Registry::new();
+        let made = Self {
+            claims: counters(
+                &r,
+                "claims_total",
+                "Claims of idempotency keys.",
+                &["outcome"],
+            )?,
+            control_sent_bytes: counter(
+                &r,
+                "control_sent_bytes_total",
+                "Bytes of control messages sent to peers, the log and the instance list.",
+            )?,
+            dispatches: counters(
+                &r,
+                "dispatches_total",
+                "Requests sent to a target, by the target's state.",
+                &["state"],
+            )?,
+            forwarded: counter(&r, "forwarded_total", "Requests sent to another instance.")?,
+            gangs: counters(&r, "gangs_total", "Gangs by their result.", &["outcome"])?,
+            generated_tokens: counter(&r, "generated_tokens_total", "Tokens sent to callers.")?,
+            heartbeat_age: histogram(
+                &r,
+                "heartbeat_age_seconds",
+                "Age of each live peer's last heartbeat when it was examined.",
+                SHORT_BOUNDS,
+            )?,
+            heartbeat_oldest: seconds(
+                &r,
+                "heartbeat_age_oldest_seconds",
+                "Age of the oldest last heartbeat of the live peers.",
+            )?,
+            owned_targets: gauge(&r, "owned_targets", "Targets that this instance owns.")?,
+            prompt_tokens: counters(
+                &r,
+                "prompt_tokens_total",
+                "Prompt tokens of the ended requests.",
+                &["class"],
+            )?,
+            queue_wait: histograms(
+                &r,
+                "queue_wait_seconds",
+                "Time from the offer to a target's queue to the dispatch.",
+                &["class"],
+                LONG_BOUNDS,
+            )?,
+            record_offset: gauge(&r, "record_offset", "Offset of the records in force.")?,
+            requests: counters(
+                &r,
+                "requests_total",
+                "Ended requests of callers.",
+                &["class", "outcome"],
+            )?,
+            retries: counter(
+                &r,
+                "retries_total",
+                "Attempts after the first of a request.",
+            )?,
+            time_between_tokens: histogram(
+                &r,
+                "time_between_tokens_seconds",
+                "Time between two tokens of one response.",
+                SHORT_BOUNDS,
+            )?,
+            time_to_first_token: histograms(
+                &r,
+                "time_to_first_token_seconds",
+                "Time from the request to its first token.",
+                &["class"],
+                LONG_BOUNDS,
+            )?,
+            registry: r,
+        };
+        made.fill();
+        Ok(made)
+    }
+
+    /// Counts a claim; `outcome` is `expired`, `lost`, `refused`, `replayed`, `unknown` or `won`.
+    pub fn claim(&self, outcome: &str) {
+        let outcome = bounded(outcome, CLAIMS);
+        self.claims.with_label_values(&[outcome]).inc();
+    }
+
+    /// Counts bytes of control messages sent.
+    pub fn control_sent(&self, bytes: usize) {
+        self.control_sent_bytes.inc_by(bytes as u64);
+    }
+
+    /// Counts a dispatch to a target in `state`: `cold`, `gone`, `leaving`, `warm` or `warming`.
+    pub fn dispatch(&self, state: &str) {
+        let state = bounded(state, STATES);
+        self.dispatches.with_label_values(&[state]).inc();
+    }
+
+    /// Records the time to the first token of a request of `class`: `long`, `medium` or `short`.
+    pub fn first_token(&self, class: &str, after: Duration) {
+        let class = bounded(class, CLASSES);
+        self.time_to_first_token
+            .with_label_values(&[class])
+            .observe(after.as_secs_f64());
+    }
+
+    /// Counts a request sent to another instance.
+    pub fn forwarded(&self) {
+        self.forwarded.inc();
+    }
+
+    /// Counts a gang; `outcome` is `cancelled`, `failed`, `finished` or `refused`.
+    pub fn gang(&self, outcome: &str) {
+        let outcome = bounded(outcome, GANGS);
+        self.gangs.with_label_values(&[outcome]).inc();
+    }
+
+    /// Records the ages of the live peers' last heartbeats.
+    pub fn heartbeat_ages(&self, ages: impl IntoIterator<Item = Duration>) {
+        let mut oldest = Duration::ZERO;
+        for age in ages {
+            self.heartbeat_age.observe(age.as_secs_f64());
+            oldest = oldest.max(age);
+        }
+        self.heartbeat_oldest.set(oldest.as_secs_f64());
+    }
+
+    /// Sets the number of owned targets.
+    pub fn owned_targets(&self, count: usize) {
+        self.owned_targets.set(count as i64);
+    }
+
+    /// Records the wait of a request of `class` in a target's queue.
+    pub fn queue_wait(&self, class: &str, wait: Duration) {
+        let class = bounded(class, CLASSES);
+        self.queue_wait
+            .with_label_values(&[class])
+            .observe(wait.as_secs_f64());
+    }
+
+    /// Sets the offset of the records in force.
+    pub fn record_offset(&self, offset: Offset) {
+        self.record_offset.set(offset as i64);
+    }
+
+    /// Renders all metrics in the text format.
+    pub fn render(&self) -> String {
+        TextEncoder::new()
+            .encode_to_string(&self.registry.gather())
+            .unwrap_or_default()
+    }
+
+    /// Counts the end of a request of `class`; `failure` is the kind of its error answer.
+    pub fn request(&self, class: &str, prompt: Tokens, failure: Option<Kind>) {
+        let class = bounded(class, CLASSES);
+        let outcome = failure.map_or(OK, Kind::name);
+        self.requests.with_label_values(&[class, outcome]).inc();
+        self.prompt_tokens
+            .with_label_values(&[class])
+            .inc_by(prompt);
+    }
+
+    /// Counts an attempt after the first of a request.
+    pub fn retry(&self) {
+        self.retries.inc();
+    }
+
+    /// Counts a token sent to a caller; `gap` is the time since the token before it.
+    pub fn token(&self, gap: Option<Duration>) {
+        self.generated_tokens.inc();
+        if let Some(gap) = gap {
+            self.time_between_tokens.observe(gap.as_secs_f64());
+        }
+    }
+
+    /// Creates the series of the closed label sets, so that a rate over the first event is not lost.
+    fn fill(&self) {
+        for class in CLASSES {
+            self.prompt_tokens.with_label_values(&[class]);
+            self.queue_wait.with_label_values(&[class]);
+            self.time_to_first_token.with_label_values(&[class]);
+            for outcome in outcomes() {
+                self.requests.with_label_values(&[*class, outcome]);
+            }
+        }
+        for (metric, labels) in [
+            (&self.claims, CLAIMS),
+            (&self.dispatches, STATES),
+            (&self.gangs, GANGS),
+        ] {
+            for label in labels {
+                metric.with_label_values(&[label]);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/platform/call.rs
@@ -0,0 +1,63 @@
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use jujubehook_http::http_types::{Request, Response};
+use jujubehook_http::{within, Client, Error as HttpError, Reuse};
+use serde::de::DeserializeOwned;
+use serde_json::Value;
+
+use super::Error;
+
+/// Longest part of an error answer that is repeated in a message, in characters.
+const EXCERPT: usize = 200;
+
+const NOT_MODIFIED: u16 = 304;
+const OK: u16 = 200;
+const OVERLOADED: u16 = 429;
+const UNAVAILABLE: u16 = 503;
+
+/// Sends a request and returns status and body, in at most `timeout`.
+pub(super) async fn call(
+    client: &Client,
+    address: SocketAddr,
+    request: Request,
+    reuse: Reuse,
+    limit: usize,
+    timeout: Duration,
+) -> Result<(u16, Vec<u8>), HttpError> {
+    let work = client.fetch(address, request, reuse, limit);
+    let (response, bytes): (Response, Vec<u8>) = within(timeout, work).await?;
+    Ok((u16::from(response.status()), bytes))
+}
+
+/// Decodes a 200 answer; a 304 is `None`, any other status an error.
+pub(super) fn decode<T: DeserializeOwned>(status: u16, bytes: &[u8]) -> Result<Option<T>, Error> {
+    match status {
+        OK => serde_json::from_slice(bytes)
+            .map(Some)
+            .map_err(|error| Error::Unknown(format!("bad answer: {error}"))),
+        NOT_MODIFIED => Ok(None),
+        _ => Err(failure(status, bytes)),
+    }
+}
+
+fn failure(status: u16, bytes: &[u8]) -> Error {
+    let text = String::from_utf8_lossy(bytes);
+    let excerpt: String = text.chars().take(EXCERPT).collect();
+    let message = format!("status {status}: {excerpt}");
+    match status {
+        OVERLOADED => Error::Refused(message),
+        UNAVAILABLE if says_not_executed(bytes) => Error::Refused(message),
+        _ => Error::Unknown(message),
+    }
+}
+
+/// Whether an error answer states `"executed":"no"`, at the top level or under `error`.
+fn says_not_executed(bytes: &[u8]) -> bool {
+    let Ok(value) = serde_json::from_slice::<Value>(bytes) else {
+        return false;
+    };
+    let nested = value.get("error").and_then(|error| error.get("executed"));
+    let stated = nested.or_else(|| value.get("executed"));
+    stated.and_then(Value::as_str) == Some("no")
+}
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -1,1 +1,24 @@
 //! Clients of the log, the instance list, the engines and the services.
+
+mod call;
+mod entry;
+mod error;
+mod list;
+mod listing;
+mod log;
+mod member;
+mod page;
+mod role;
+mod settings;
+mod state;
+
+pub use entry::Entry;
+pub use error::Error;
+pub use list::List;
+pub use listing::Listing;
+pub use log::Log;
+pub use member::Member;
+pub use page::Page;
+pub use role::Role;
+pub use settings::Settings;
+pub use state::State;
--- /dev/null
+++ b/tests/log_client.rs
@@ -0,0 +1,167 @@
+//! Guards against repeated appends and against taking an unknown outcome for "not appended".
+
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use jujubehook::error::Executed;
+use jujubehook::platform::{List, Log, Role, Settings, State};
+use jujubehook_http::http_types::{Request, Response};
+use jujubehook_http::{text, Peer, Server};
+use smol::Timer;
+
+const WAIT: Duration = Duration::ZERO;
+
+fn free() -> SocketAddr {
+    (Ipv4Addr::LOCALHOST, 0).into()
+}
+
+fn settings() -> Settings {
+    Settings {
+        answer_limit: 400,
+        timeout: Duration::from_millis(300),
+        ..Settings::default()
+    }
+}
+
+/// Answers every request with one status and body and records the paths.
+async fn fixed(status: u16, body: &'static str) -> (Server, Arc<Mutex<Vec<String>>>) {
+    let paths = Arc::new(Mutex::new(Vec::new()));
+    let seen = paths.clone();
+    let server = Server::start(free(), move |request: Request, _: Peer| {
+        seen.lock().unwrap().push(request.url().to_string());
+        async move { text(status, body) }
+    });
+    (server.await.unwrap(), paths)
+}
+
+#[test]
+fn append_outcome() {
+    let cases = [
+        (200, r#"{"offset":7}"#, Ok(7)),
+        (200, r#"{"offset":0}"#, Err(Executed::Unknown)),
+        (200, "cut of", Err(Executed::Unknown)),
+        (304, "", Err(Executed::Unknown)),
+        (429, "", Err(Executed::No)),
+        (500, r#"{"executed":"no"}"#, Err(Executed::Unknown)),
+        (503, "down", Err(Executed::Unknown)),
+        (503, r#"{"executed":"no"}"#, Err(Executed::No)),
+        (503, r#"{"error":{"executed":"no"}}"#, Err(Executed::No)),
+        (
+            503,
+            r#"{"error":{"executed":"unknown"}}"#,
+            Err(Executed::Unknown),
+        ),
+    ];
+    smol::block_on(async {
+        for (status, body, expected) in cases {
+            let (server, paths) = fixed(status, body).await;
+            let log = Log::new(server.address(), settings());
+            let result = log.append("config", "{}").await;
+            let result = result.map_err(|error| error.executed());
+            assert_eq!(result, expected, "status {status}, body `{body}`");
+            assert_eq!(
+                paths.lock().unwrap().len(),
+                1,
+                "an append must not be repeated"
+            );
+        }
+    });
+}
+
+#[test]
+fn append_without_server() {
+    // Dropping a listener closes it at once; the closing of a `Server` may take a moment.
+    let address = TcpListener::bind(free()).unwrap().local_addr().unwrap();
+    smol::block_on(async {
+        let log = Log::new(address, settings());
+        let error = log.append("config", "{}").await.unwrap_err();
+        assert_eq!(error.executed(), Executed::No, "{error}");
+        for stream in ["", "..", "a/b", "a?b"] {
+            let error = log.append(stream, "{}").await.unwrap_err();
+            assert_eq!(error.executed(), Executed::No, "{error}");
+        }
+    });
+}
+
+#[test]
+fn append_times_out() {
+    smol::block_on(async {
+        let server = Server::start(free(), |_: Request, _: Peer| async {
+            Timer::after(Duration::from_secs(20)).await;
+            text(200, r#"{"offset":1}"#)
+        });
+        let server = server.await.unwrap();
+        let log = Log::new(server.address(), settings());
+        let error = log.append("config", "{}").await.unwrap_err();
+        assert_eq!(error.executed(), Executed::Unknown, "{error}");
+    });
+}
+
+/// Entries of 60 bytes: a page of eight is over the answer limit of the test, a smaller one is not.
+async fn long_entries(request: Request, _: Peer) -> Response {
+    let pairs = request.url().query_pairs();
+    let get = |name: &str| {
+        let pair = pairs.clone().find(|(key, _)| key == name);
+        pair.unwrap().1.parse::<u64>().unwrap()
+    };
+    let (from, limit) = (get("from"), get("limit"));
+    let entry = |offset| format!(r#"{{"offset":{offset},"body":"{}"}}"#, "x".repeat(60));
+    let entries: Vec<_> = (from..from + limit).map(entry).collect();
+    let (next, entries) = (from + limit, entries.join(","));
+    text(
+        200,
+        format!(r#"{{"first":1,"next":{next},"entries":[{entries}]}}"#),
+    )
+}
+
+#[test]
+fn read_shrinks_page() {
+    smol::block_on(async {
+        let server = Server::start(free(), long_entries).await.unwrap();
+        let log = Log::new(server.address(), settings());
+        let page = log.read("config", 5, 8, WAIT).await.unwrap();
+        let offsets: Vec<_> = page.entries.iter().map(|entry| entry.offset).collect();
+        assert_eq!((offsets, page.next), (vec![5, 6, 7, 8], 9));
+    });
+}
+
+#[test]
+fn read_checks_order() {
+    let swapped =
+        r#"{"first":1,"next":3,"entries":[{"offset":2,"body":""},{"offset":1,"body":""}]}"#;
+    let before = r#"{"first":1,"next":2,"entries":[{"offset":1,"body":""}]}"#;
+    let behind = r#"{"first":1,"next":2,"entries":[{"offset":2,"body":""}]}"#;
+    smol::block_on(async {
+        for (from, body) in [(1, swapped), (2, before), (2, behind)] {
+            let (server, _) = fixed(200, body).await;
+            let log = Log::new(server.address(), settings());
+            log.read("config", from, 8, WAIT).await.unwrap_err();
+        }
+    });
+}
+
+#[test]
+fn list_versions() {
+    let body = r#"{"version":4,"instances":[
+        {"id":"b","role":"entry","address":"127.0.0.1:1","domain":"x","state":"leaving"},
+        {"id":"a","role":"engine","address":"127.0.0.1:2","domain":"x","state":"live","model":"m"}]}"#;
+    smol::block_on(async {
+        let (server, paths) = fixed(200, body).await;
+        let list = List::new(server.address(), settings());
+        let listing = list.fetch(Some(3)).await.unwrap().unwrap();
+        assert!(paths.lock().unwrap()[0].ends_with("/instances?version=3"));
+        let ids: Vec<_> = listing
+            .instances
+            .iter()
+            .map(|member| member.id.as_str())
+            .collect();
+        assert_eq!((ids, listing.version), (vec!["a", "b"], 4));
+        let (a, b) = (listing.member("a").unwrap(), listing.member("b").unwrap());
+        assert_eq!((a.role, a.state), (Role::Engine, State::Live));
+        assert_eq!((b.role, b.state), (Role::Entry, State::Leaving));
+        let (server, _) = fixed(304, "").await;
+        let list = List::new(server.address(), settings());
+        assert_eq!(list.fetch(Some(4)).await.unwrap(), None);
+    });
+}
