Add per-target scheduling, routing and retries

Change: `target::Scheduler` (cold limit, memory in tokens, admission by deadline, slack order, fair shares, reserve, chunking), `route` (affinity, least-loaded, round-robin) and `retry` (budget, outlier ejection).

--- /dev/null
+++ b/src/retry/budget.rs
@@ -0,0 +1,39 @@
+/// Limits retries to a share of first attempts, so that retries cannot multiply an overload.
+#[derive(Clone, Debug)]
+pub struct Budget {
+    burst: f64,
+    credit: f64,
+    share: f64,
+}
+
+impl Budget {
+    /// `share`: retries per first attempt, 0 to 1. `burst`: most retries saved up; the budget starts with them.
+    pub fn new(share: f64, burst: f64) -> Budget {
+        let burst = burst.max(0.0);
+        Budget {
+            burst,
+            credit: burst,
+            share: share.clamp(0.0, 1.0),
+        }
+    }
+
+    /// Counts a first attempt.
+    pub fn attempt(&mut self) {
+        self.credit = (self.credit + self.share).min(self.burst);
+    }
+
+    /// Takes one retry; returns false if the budget is used up.
+    pub fn spend(&mut self) -> bool {
+        if self.credit < 1.0 {
+            return false;
+        }
+        self.credit -= 1.0;
+        true
+    }
+}
+
+impl Default for Budget {
+    fn default() -> Budget {
+        Budget::new(0.2, 10.0)
+    }
+}
--- /dev/null
+++ b/src/retry/outlier.rs
@@ -0,0 +1,125 @@
+use std::time::Duration;
+
+use crate::id::TargetId;
+
+/// When and for how long a target is ejected.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Settings {
+    /// Time of a first ejection; each further one without a success in between takes twice as long.
+    pub base: Duration,
+    /// Failures in a row that eject a target.
+    pub failures: u32,
+    /// Longest ejection.
+    pub longest: Duration,
+    /// Share of a pool that may be ejected at a time, 0 to 1.
+    pub share: f64,
+}
+
+impl Default for Settings {
+    fn default() -> Settings {
+        Settings {
+            base: Duration::from_secs(2),
+            failures: 3,
+            longest: Duration::from_secs(60),
+            share: 0.5,
+        }
+    }
+}
+
+/// Takes targets that fail in a row out of the choice for a while.
+#[derive(Clone, Debug, Default)]
+pub struct Outlier {
+    settings: Settings,
+    /// Sorted by target; a success removes the entry.
+    targets: Vec<Trouble>,
+}
+
+#[derive(Clone, Debug)]
+struct Trouble {
+    ejections: u32,
+    failures: u32,
+    since: Duration,
+    target: TargetId,
+    until: Duration,
+}
+
+impl Outlier {
+    /// An outlier ejection without any failure seen.
+    pub fn new(settings: Settings) -> Outlier {
+        Outlier {
+            settings,
+            targets: Vec::new(),
+        }
+    }
+
+    /// Takes the outcome of an attempt.
+    pub fn record(&mut self, target: &TargetId, ok: bool, now: Duration) {
+        match (self.find(target), ok) {
+            (Ok(at), true) => {
+                self.targets.remove(at);
+            }
+            (Err(_), true) => {}
+            (Ok(at), false) => self.fail(at, now),
+            (Err(at), false) => {
+                self.targets.insert(at, Trouble::new(target));
+                self.fail(at, now);
+            }
+        }
+    }
+
+    /// Whether `target` is ejected from a pool of `pool` targets. At most the settings' share of the pool is, and
+    /// never all of it; those ejected first stay ejected.
+    pub fn ejected(&self, target: &TargetId, pool: usize, now: Duration) -> bool {
+        let Ok(at) = self.find(target) else {
+            return false;
+        };
+        let trouble = &self.targets[at];
+        if trouble.until <= now {
+            return false;
+        }
+        let earlier = |other: &&Trouble| {
+            other.until > now && (other.since, &other.target) < (trouble.since, &trouble.target)
+        };
+        self.targets.iter().filter(earlier).count() < self.allowed(pool)
+    }
+
+    fn allowed(&self, pool: usize) -> usize {
+        let share = (pool as f64 * self.settings.share.clamp(0.0, 1.0)) as usize;
+        share.min(pool.saturating_sub(1))
+    }
+
+    /// After an ejection a single failure ejects again: the first attempt is a probe.
+    fn fail(&mut self, at: usize, now: Duration) {
+        let settings = &self.settings;
+        let trouble = &mut self.targets[at];
+        if trouble.until > now {
+            return;
+        }
+        trouble.failures = trouble.failures.saturating_add(1);
+        if trouble.failures < settings.failures && trouble.ejections == 0 {
+            return;
+        }
+        let factor = 1u32 << trouble.ejections.min(16);
+        trouble.ejections = trouble.ejections.saturating_add(1);
+        trouble.failures = 0;
+        trouble.since = now;
+        trouble.until = now + settings.base.saturating_mul(factor).min(settings.longest);
+    }
+
+    fn find(&self, target: &TargetId) -> Result<usize, usize> {
+        self.targets
+            .binary_search_by(|trouble| trouble.target.cmp(target))
+    }
+}
+
+impl Trouble {
+    fn new(target: &TargetId) -> Trouble {
+        Trouble {
+            ejections: 0,
+            failures: 0,
+            since: Duration::ZERO,
+            target: target.clone(),
+            until: Duration::ZERO,
+        }
+    }
+}
--- /dev/null
+++ b/src/route/ask.rs
@@ -0,0 +1,19 @@
+use crate::id::{DomainId, TargetId, Tokens};
+use crate::target::Class;
+
+/// What a request asks of a target.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Ask {
+    /// Length class of the prompt.
+    pub class: Class,
+    /// The domain to prefer.
+    pub domain: DomainId,
+    /// Most tokens to generate.
+    pub max_tokens: Tokens,
+    /// Hashes of the leading blocks of the prompt.
+    pub prefix: Vec<u64>,
+    /// Tokens of the prompt.
+    pub prompt: Tokens,
+    /// Targets that failed or refused this request.
+    pub tried: Vec<TargetId>,
+}
--- /dev/null
+++ b/src/route/candidate.rs
@@ -0,0 +1,60 @@
+use crate::id::{DomainId, TargetId, Tokens};
+use crate::target::{Class, Load, State};
+
+use super::Ask;
+
+/// A target that may get a request.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Candidate {
+    /// The target's domain.
+    pub domain: DomainId,
+    /// Whether the target is ejected as an outlier.
+    pub ejected: bool,
+    /// Last known load; `None` counts as the mean.
+    pub load: Option<Load>,
+    /// Memory of the target.
+    pub memory: Tokens,
+    /// The target.
+    pub target: TargetId,
+}
+
+impl Candidate {
+    /// Whether the queue is known to be full.
+    pub(super) fn is_full(&self) -> bool {
+        self.load.as_ref().is_some_and(|load| load.full)
+    }
+
+    /// Long prompts that are not prefilled; 0 if unknown.
+    pub(super) fn long(&self) -> u32 {
+        self.load.as_ref().map_or(0, |load| load.long)
+    }
+
+    /// Requests there, if known.
+    pub(super) fn requests(&self) -> Option<u32> {
+        let load = self.load.as_ref()?;
+        Some(load.queued.saturating_add(load.running))
+    }
+
+    /// Whether the target can take the request at all.
+    pub(super) fn takes(&self, ask: &Ask) -> bool {
+        let need = ask.prompt.saturating_add(ask.max_tokens);
+        !self.ejected
+            && !self.is_leaving()
+            && need <= self.capacity(ask.class)
+            && !ask.tried.contains(&self.target)
+    }
+
+    fn capacity(&self, class: Class) -> Tokens {
+        match (class, &self.load) {
+            (Class::Long | Class::Medium, Some(load)) => self.memory.min(load.capacity),
+            (Class::Long | Class::Medium, None) | (Class::Short, _) => self.memory,
+        }
+    }
+
+    fn is_leaving(&self) -> bool {
+        match self.load.as_ref().map(|load| load.state) {
+            Some(State::Gone | State::Leaving) => true,
+            Some(State::Cold | State::Warm | State::Warming) | None => false,
+        }
+    }
+}
--- a/src/route/mod.rs
+++ b/src/route/mod.rs
@@ -1,1 +1,40 @@
 //! Choice of the target that gets a request.
+
+mod affinity;
+mod ask;
+mod candidate;
+mod least_loaded;
+mod pool;
+mod round_robin;
+
+use std::time::Duration;
+
+pub use affinity::Affinity;
+pub use ask::Ask;
+pub use candidate::Candidate;
+pub use least_loaded::LeastLoaded;
+pub use round_robin::RoundRobin;
+
+use crate::error::{Error, Kind};
+
+/// A way to choose a target.
+pub trait Policy: Send {
+    /// Index of the candidate that gets the request; `None` if none can take it.
+    fn choose(&mut self, ask: &Ask, candidates: &[Candidate], now: Duration) -> Option<usize>;
+
+    /// Whether requests go through the target's owner, which has the one queue of the target.
+    fn owned(&self) -> bool;
+}
+
+/// The policy called `name`: `affinity`, `least-loaded` or `round-robin`.
+pub fn policy(name: &str) -> Result<Box<dyn Policy>, Error> {
+    match name {
+        "affinity" => Ok(Box::new(Affinity::default())),
+        "least-loaded" => Ok(Box::new(LeastLoaded::default())),
+        "round-robin" => Ok(Box::new(RoundRobin::default())),
+        _ => Err(Error::new(
+            Kind::BadRequest,
+            format!("unknown routing policy `{name}`: expected `affinity`, `least-loaded` or `round-robin`"),
+        )),
+    }
+}
--- /dev/null
+++ b/src/route/round_robin.rs
@@ -0,0 +1,23 @@
+use std::time::Duration;
+
+use super::pool::pool;
+use super::{Ask, Candidate, Policy};
+
+/// Baseline: one target after the other.
+#[derive(Clone, Debug, Default)]
+pub struct RoundRobin {
+    turn: usize,
+}
+
+impl Policy for RoundRobin {
+    fn choose(&mut self, ask: &Ask, candidates: &[Candidate], _now: Duration) -> Option<usize> {
+        let pool = pool(ask, candidates)?;
+        let index = pool[self.turn % pool.len()];
+        self.turn = self.turn.wrapping_add(1);
+        Some(index)
+    }
+
+    fn owned(&self) -> bool {
+        false
+    }
+}
--- /dev/null
+++ b/src/target/admission.rs
@@ -0,0 +1,204 @@
+use std::time::Duration;
+
+use super::entry::Entry;
+use super::fit::capacity;
+use super::{Class, Item, Refusal, Scheduler, State};
+use crate::error::Kind;
+use crate::id::Tokens;
+
+/// Work in front of a request.
+#[derive(Clone, Copy, Debug, Default)]
+struct Work {
+    requests: f64,
+    /// Sum of predicted times at the engine.
+    service: f64,
+    tokens: f64,
+}
+
+impl Work {
+    fn add(&mut self, other: Work, factor: f64) {
+        self.requests += other.requests * factor;
+        self.service += other.service * factor;
+        self.tokens += other.tokens * factor;
+    }
+}
+
+impl Scheduler {
+    /// Bounds of a retry-after.
+    const RETRY_MAX: Duration = Duration::from_secs(60);
+    const RETRY_MIN: Duration = Duration::from_millis(100);
+
+    /// Refuses an item that may not wait here.
+    pub(super) fn admit(&self, entry: &Entry, now: Duration) -> Result<(), Refusal> {
+        if self.leaving {
+            return Err(refuse(Kind::Moved, Scheduler::RETRY_MIN));
+        }
+        if self.knows(entry.item.request) {
+            return Err(refuse(Kind::BadRequest, Duration::ZERO));
+        }
+        if entry.item.memory() > self.capacity(entry.class) {
+            return Err(refuse(Kind::TooLarge, Duration::ZERO));
+        }
+        if self.is_full_for(entry.share) {
+            return Err(refuse(Kind::Overloaded, retry(self.backlog(now))));
+        }
+        let finish = now + self.wait(entry, now) + self.service(entry);
+        if finish <= entry.item.deadline {
+            return Ok(());
+        }
+        let late = finish.saturating_sub(entry.item.deadline);
+        Err(refuse(Kind::DeadlineRefused, retry(late)))
+    }
+
+    /// Predicted wait of a new short request.
+    pub(super) fn backlog(&self, now: Duration) -> Duration {
+        let item = Item {
+            // A typical deadline places the request in the queue; only the order depends on it.
+            deadline: now + Duration::from_secs(10),
+            max_tokens: 1,
+            prefix: Vec::new(),
+            prompt: 1,
+            request: 0,
+            weight: 1,
+            workspace: String::new(),
+        };
+        let mut entry = self.entry(item, usize::MAX, now);
+        entry.sequence = u64::MAX;
+        self.wait(&entry, now)
+    }
+
+    /// Memory that a request of `class` may take when nothing else is there.
+    pub(super) fn capacity(&self, class: Class) -> Tokens {
+        match class {
+            Class::Long | Class::Medium => capacity(self.memory, &self.settings),
+            Class::Short => self.memory,
+        }
+    }
+
+    /// Predicted time at the engine: prefill of the rest and decode.
+    pub(super) fn service(&self, entry: &Entry) -> Duration {
+        self.time(self.service_of(entry.rest(), entry.item.max_tokens))
+    }
+
+    /// Seconds of the prefill of `tokens`.
+    pub(super) fn prefill_seconds(&self, tokens: f64) -> f64 {
+        tokens * self.slowdown() / self.prefill.get()
+    }
+
+    fn decode_seconds(&self, tokens: Tokens) -> f64 {
+        tokens as f64 * self.slowdown() / self.decode.get()
+    }
+
+    /// Whether the workspace may not queue more. With `slack` one workspace cannot fill the queue of all.
+    fn is_full_for(&self, share: usize) -> bool {
+        let limit = self.settings.queue_limit;
+        if self.waiting.len() >= limit {
+            return true;
+        }
+        if !self.settings.slack {
+            return false;
+        }
+        let own = self.waiting.iter().filter(|entry| entry.share == share);
+        own.count() >= ((limit as f64 * self.settings.queue_share) as usize).max(1)
+    }
+
+    fn service_of(&self, prefill: Tokens, decode: Tokens) -> f64 {
+        self.prefill_seconds(prefill as f64) + self.decode_seconds(decode)
+    }
+
+    fn slowdown(&self) -> f64 {
+        match self.ramp.state() {
+            State::Cold => self.settings.cold_slowdown.max(1.0),
+            State::Gone | State::Leaving | State::Warm | State::Warming => 1.0,
+        }
+    }
+
+    /// Bounded, so that absurd lengths cannot overflow.
+    fn time(&self, seconds: f64) -> Duration {
+        Duration::from_secs_f64(seconds.clamp(0.0, 1e9))
+    }
+
+    /// Predicted time until the request starts.
+    fn wait(&self, entry: &Entry, now: Duration) -> Duration {
+        let ahead = self.ahead(entry);
+        let bounds = self.bounds();
+        let prefill = self.prefill_seconds(ahead.tokens + bounds.usage.prefill as f64);
+        let slots = f64::from(bounds.slots.saturating_sub(bounds.fixed_slots)).max(1.0);
+        let running = self.flying.len() as f64;
+        if running + ahead.requests < slots {
+            return self.time(prefill);
+        }
+        let rest: f64 = self
+            .flying
+            .iter()
+            .map(|flight| self.rest(flight, now))
+            .sum();
+        self.time(prefill.max((ahead.service + rest) / slots))
+    }
+
+    /// Predicted seconds until a request at the engine ends.
+    fn rest(&self, flight: &super::flight::Flight, now: Duration) -> f64 {
+        let decode = if flight.last {
+            flight.entry.item.max_tokens
+        } else {
+            0
+        };
+        let since = flight.first_token.unwrap_or(flight.sent);
+        let total = match flight.first_token {
+            Some(_) => self.decode_seconds(decode),
+            None => self.service_of(flight.piece, decode),
+        };
+        (total - now.saturating_sub(since).as_secs_f64()).max(0.0)
+    }
+
+    /// Work that is predicted to go first. With fair sharing, other workspaces get at most what their weight gives
+    /// them while this one is served, plus the fairness window if their requests have less slack.
+    fn ahead(&self, entry: &Entry) -> Work {
+        let mut all = vec![Work::default(); self.shares.len() + 1];
+        let mut first = all.clone();
+        let own = entry.share.min(self.shares.len());
+        for other in &self.waiting {
+            let work = self.work(other);
+            all[other.share].add(work, 1.0);
+            if other.order() < entry.order() {
+                first[other.share].add(work, 1.0);
+            }
+        }
+        let mut sum = first[own];
+        if !self.settings.slack {
+            first
+                .iter()
+                .enumerate()
+                .filter(|(share, _)| *share != own)
+                .for_each(|(_, work)| sum.add(*work, 1.0));
+            return sum;
+        }
+        let tokens = sum.tokens + self.work(entry).tokens;
+        for (share, work) in all.iter().enumerate() {
+            if share == own || work.tokens <= 0.0 {
+                continue;
+            }
+            let fair = tokens * self.shares.get(share).weight / f64::from(entry.item.weight.max(1));
+            let window = fair + self.settings.prefill_limit as f64;
+            let tokens = work.tokens.min(fair.max(first[share].tokens.min(window)));
+            sum.add(*work, tokens / work.tokens);
+        }
+        sum
+    }
+
+    fn work(&self, entry: &Entry) -> Work {
+        Work {
+            requests: 1.0,
+            service: self.service_of(entry.rest(), entry.item.max_tokens),
+            tokens: entry.rest() as f64,
+        }
+    }
+}
+
+fn refuse(kind: Kind, retry_after: Duration) -> Refusal {
+    Refusal { kind, retry_after }
+}
+
+fn retry(wait: Duration) -> Duration {
+    wait.clamp(Scheduler::RETRY_MIN, Scheduler::RETRY_MAX)
+}
--- /dev/null
+++ b/src/target/item.rs
@@ -0,0 +1,29 @@
+use std::time::Duration;
+
+use crate::id::{AttemptId, Tokens, WorkspaceId};
+
+/// A request offered to a target.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Item {
+    /// Latest finish, since process start.
+    pub deadline: Duration,
+    /// Most tokens to generate.
+    pub max_tokens: Tokens,
+    /// Hashes of the leading blocks of the prompt, in order; each covers [`super::Settings::block`] tokens.
+    pub prefix: Vec<u64>,
+    /// Tokens of the prompt.
+    pub prompt: Tokens,
+    /// The request.
+    pub request: AttemptId,
+    /// Weight of the workspace; 0 counts as 1.
+    pub weight: u32,
+    /// The workspace.
+    pub workspace: WorkspaceId,
+}
+
+impl Item {
+    /// Memory that the request needs until it ends.
+    pub fn memory(&self) -> Tokens {
+        self.prompt.saturating_add(self.max_tokens)
+    }
+}
