order: Add the controller lease and convergent orders

Cause: one controller per domain has to place models without a coordination service and through outages of the log. Change: fold the lease from log entries only (a claim is valid if it starts after the current term, a renewal if it names the term), so that all readers agree whatever their clocks say. The holder counts its lease from the append and stops a margin earlier; it waits lease plus delay before it orders targets that ignore fencing, reads each target first and paces loads.

--- /dev/null
+++ b/src/order/guards.rs
@@ -0,0 +1,19 @@
+/// Guards of the controller protocol, all on by default.
+///
+/// For verification only: the specifications switch off one guard at a time and must then find a violation.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub struct Guards {
+    /// The holder stops by its own clock before its lease expires.
+    pub expiry: bool,
+    /// A new holder waits out the lease and the longest order delay for targets that ignore fencing.
+    pub wait: bool,
+}
+
+impl Default for Guards {
+    fn default() -> Self {
+        Self {
+            expiry: true,
+            wait: true,
+        }
+    }
+}
--- /dev/null
+++ b/src/order/load.rs
@@ -0,0 +1,26 @@
+use serde::{Deserialize, Serialize};
+
+use crate::id::ModelId;
+
+/// What a target has loaded or is to load.
+#[derive(Clone, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
+pub struct Load {
+    /// The model.
+    pub model: ModelId,
+    /// Role of the engine; as a wish, `None` means any.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub role: Option<String>,
+    /// Version of the weights.
+    pub version: String,
+}
+
+impl Load {
+    /// Whether `loaded` fulfils this wish.
+    pub(super) fn is_met_by(&self, loaded: &Load) -> bool {
+        self.same_weights(loaded) && (self.role.is_none() || self.role == loaded.role)
+    }
+
+    pub(super) fn same_weights(&self, other: &Load) -> bool {
+        self.model == other.model && self.version == other.version
+    }
+}
--- a/src/order/mod.rs
+++ b/src/order/mod.rs
@@ -1,1 +1,28 @@
 //! Controller lease with fencing, orders to engines, weight-store pacing.
+//!
+//! A [`Controller`] decides for one instance; it does no I/O and reads no clock. At most one instance of a domain holds
+//! the lease according to the log; only the holder gives orders. `docs/notes/ownership.md` states what is guaranteed
+//! to engines that check the fencing number and to those that ignore it.
+
+mod action;
+mod controller;
+mod guards;
+mod lease;
+mod load;
+mod pacer;
+mod place;
+mod plan;
+mod settings;
+mod term;
+
+pub use action::Action;
+pub use controller::Controller;
+pub use guards::Guards;
+pub use lease::Lease;
+pub use load::Load;
+pub use plan::Plan;
+pub use settings::Settings;
+
+use pacer::Pacer;
+use place::Place;
+use term::Term;
--- /dev/null
+++ b/src/order/term.rs
@@ -0,0 +1,44 @@
+use super::Lease;
+use crate::id::{Fence, Incarnation, InstanceId, Offset};
+
+/// The lease in force according to the log.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+pub(super) struct Term {
+    pub(super) expiry: u64,
+    pub(super) fence: Fence,
+    pub(super) holder: InstanceId,
+    pub(super) incarnation: Incarnation,
+}
+
+impl Term {
+    /// The term that follows `current` when `lease` is read at `offset`; `None` if the entry is not valid.
+    ///
+    /// A claim is valid if it starts after the current term; a renewal if it names the current term and starts before
+    /// its end. Only log content counts, so all readers agree. A renewal without a term is valid, because the claim may
+    /// be older than the log's retention.
+    pub(super) fn fold(current: Option<&Term>, offset: Offset, lease: &Lease) -> Option<Term> {
+        let valid = match current {
+            None => true,
+            Some(term) if lease.fence == 0 => lease.start >= term.expiry,
+            Some(term) => term.is_renewed_by(lease),
+        };
+        valid.then(|| Term {
+            expiry: lease.expiry,
+            fence: if lease.fence == 0 {
+                offset
+            } else {
+                lease.fence
+            },
+            holder: lease.holder.clone(),
+            incarnation: lease.incarnation,
+        })
+    }
+
+    fn is_renewed_by(&self, lease: &Lease) -> bool {
+        lease.fence == self.fence
+            && lease.holder == self.holder
+            && lease.incarnation == self.incarnation
+            && lease.start < self.expiry
+            && lease.expiry > self.expiry
+    }
+}
