Add the fold of configuration records

Cause: instances need one state of the configuration that is a pure function of the log, and the daemon needs its queries.

Derived decoders take arrays for objects; a wrapper refuses them.

--- a/src/record/mod.rs
+++ b/src/record/mod.rs
@@ -1,1 +1,43 @@
 //! Configuration records: schema versions, fold, snapshot and queries.
+//!
+//! A record is one JSON entry on log stream `config`. The fold is a pure function of the entries in offset order, so
+//! that instances at the same offset hold the same state. Section 4 of `docs/design.md` gives the rules.
+
+mod body;
+mod check;
+mod decode;
+mod domain;
+mod entry;
+mod fold;
+mod grant;
+mod kind;
+mod object;
+#[allow(clippy::module_inception)]
+mod record;
+mod service;
+mod settings;
+mod snapshot;
+mod target;
+mod tombstone;
+mod v1;
+mod v2;
+mod verdict;
+mod workspace;
+
+pub use body::Body;
+pub use check::{
+    MAX_ENTRY_BYTES, MAX_FOLD_BYTES, MAX_ITEMS, MAX_MEMORY, MAX_NAME_BYTES, MAX_PROMPT,
+    MAX_RECORDS, MAX_WEIGHT,
+};
+pub use domain::Domain;
+pub use entry::entry;
+pub use fold::Fold;
+pub use grant::Grant;
+pub use kind::Kind;
+pub use record::Record;
+pub use service::Service;
+pub use settings::{Guards, Settings, NEWEST_SCHEMA};
+pub use target::Target;
+pub use tombstone::{Tombstone, MAX_TOMBSTONES};
+pub use verdict::{Verdict, MAX_VERDICTS};
+pub use workspace::Workspace;
--- /dev/null
+++ b/tests/record_schemas.rs
@@ -0,0 +1,185 @@
+//! The two schema versions of records and the checks of their decoder.
+
+use jujubehook::record::{Fold, Record, Verdict};
+
+const V1: &str = include_str!("fixtures/schema1.jsonl");
+const V2: &str = include_str!("fixtures/schema2.jsonl");
+
+fn fold(entries: &str) -> Fold {
+    let mut fold = Fold::default();
+    for entry in entries.lines() {
+        let verdict = fold.apply(fold.offset() + 1, entry).unwrap();
+        assert!(matches!(verdict, Verdict::Accepted { .. }), "{verdict:?}");
+    }
+    fold
+}
+
+fn reject(entry: &str) -> String {
+    match Fold::default().apply(1, entry).unwrap() {
+        Verdict::Rejected { reason } => reason,
+        Verdict::Accepted { .. } => panic!("accepted: {entry}"),
+    }
+}
+
+/// Guards against records that mean something else in the other schema, while both are in force.
+#[test]
+fn same_meaning() {
+    let (old, new) = (fold(V1), fold(V2));
+    let bodies = |fold: &Fold| {
+        fold.records()
+            .iter()
+            .map(|record| record.body.clone())
+            .collect::<Vec<_>>()
+    };
+    assert_eq!(bodies(&old), bodies(&new));
+    assert_eq!(old.records().len(), 4);
+    assert!(old.records().iter().all(|record| record.schema == 1));
+    assert!(!old.domain_in_service("north"));
+    let target = old.target("engine-1").unwrap();
+    assert!(target.checks_fencing && target.leaving);
+    assert_eq!((target.cold_limit, target.memory), (Some(2), Some(400_000)));
+    let service = old.service("seats").unwrap();
+    assert!(service.is_once("sell") && service.is_once("hold") && !service.is_once("look"));
+    assert_eq!(
+        old.workspace("peten").map(|workspace| workspace.weight),
+        Some(4)
+    );
+}
+
+/// Guards against a view of a record that cannot be published again.
+#[test]
+fn view_is_schema_two() {
+    for record in fold(V1).records() {
+        let view = serde_json::to_value(record).unwrap();
+        let entry = jujubehook::record::entry(record.kind(), record.name(), 2, 0, &view["body"]);
+        let again = fold(&entry);
+        assert_eq!(
+            again.records().iter().map(Record::json).collect::<Vec<_>>(),
+            [view["body"].clone()]
+        );
+    }
+}
+
+/// Guards against entries that are accepted with a part of them ignored, and against reasons that do not name the fault.
+#[test]
+fn strict_checks() {
+    let domain =
+        |body: &str| format!(r#"{{"schema":1,"kind":"domain","name":"n","base":0,"body":{body}}}"#);
+    let target =
+        |body: &str| format!(r#"{{"schema":2,"kind":"target","name":"t","base":0,"body":{body}}}"#);
+    let space = |body: &str| {
+        format!(r#"{{"schema":1,"kind":"workspace","name":"w","base":0,"body":{body}}}"#)
+    };
+    let cases = [
+        ("junk".into(), "expected value"),
+        ("[\"domain\",7]".into(), "expected an object"),
+        (domain("[true]"), "expected an object"),
+        (target(r#"{"limits":[1,1]}"#), "expected an object"),
+        (
+            r#"{"schema":"1"}"#.into(),
+            "`schema` is not a positive integer",
+        ),
+        (r#"{"schema":1,"kind":"planet"}"#.into(), "`kind`"),
+        (
+            r#"{"schema":1,"kind":"domain","name":"n","base":0}"#.into(),
+            "missing field `body`",
+        ),
+        (
+            r#"{"schema":1,"kind":"domain","name":"","base":0,"body":null}"#.into(),
+            "domain name is empty",
+        ),
+        (
+            r#"{"schema":1,"kind":"domain","name":"n","base":0,"body":null}"#.into(),
+            "no domain `n` to delete",
+        ),
+        (
+            r#"{"schema":1,"kind":"domain","name":"a b","base":0,"body":null}"#.into(),
+            "name `a b`",
+        ),
+        (
+            r#"{"schema":1,"kind":"domain","name":"n","base":-1,"body":null}"#.into(),
+            "-1",
+        ),
+        (domain(r#"{"in_service":true,"extra":1}"#), "`extra`"),
+        (
+            domain(r#"{"in_service":true,"in_service":false}"#),
+            "duplicate field `in_service`",
+        ),
+        (domain(r#"{"service":{"in":true}}"#), "`service`"),
+        (domain("{}"), "missing field `in_service`"),
+        (target(r#"{"limits":{"cold":0}}"#), "cold limit `0`"),
+        (target(r#"{"limits":{"memory":0}}"#), "memory `0`"),
+        (target(r#"{"limits":{"size":1}}"#), "`size`"),
+        (
+            space(r#"{"models":["m"],"keys":["AB"]}"#),
+            "key digest `AB`",
+        ),
+        (
+            space(r#"{"models":["m"],"keys":[],"weight":0}"#),
+            "weight `0`",
+        ),
+        (
+            space(r#"{"models":["m"],"keys":[],"weight":1001}"#),
+            "weight `1001`",
+        ),
+        (
+            space(r#"{"models":["m"],"keys":[],"max_prompt":0}"#),
+            "max_prompt `0`",
+        ),
+        (
+            space(r#"{"models":["m","m"],"keys":[]}"#),
+            "`m` is listed twice in models",
+        ),
+        (
+            space(r#"{"models":[""],"keys":[]}"#),
+            "models name is empty",
+        ),
+    ];
+    for (entry, expected) in cases {
+        let reason = reject(&entry);
+        assert!(reason.contains(expected), "{entry}: {reason}");
+    }
+}
+
+/// Guards against a flat record that grows beyond the size limit in the internal form.
+#[test]
+fn expansion_limited() {
+    let names = |prefix: &str| {
+        (0..200)
+            .map(|n| format!("\"{prefix}{n}\""))
+            .collect::<Vec<_>>()
+            .join(",")
+    };
+    let body = format!(
+        r#"{{"models":[{}],"adapters":[{}],"keys":[]}}"#,
+        names("m"),
+        names("a")
+    );
+    let reason = reject(&format!(
+        r#"{{"schema":1,"kind":"workspace","name":"w","base":0,"body":{body}}}"#
+    ));
+    assert!(reason.contains("more than 65536"), "{reason}");
+}
+
+/// Guards against input that makes the decoder panic, and against accepted entries that a snapshot does not restore.
+#[test]
+fn any_bytes() {
+    bolero::check!()
+        .with_iterations(20_000)
+        .for_each(|bytes: &[u8]| {
+            let _ = Fold::from_snapshot(bytes);
+            let text = String::from_utf8_lossy(bytes);
+            let _ = Fold::default().apply(1, &text);
+            for line in V1.lines().chain(V2.lines()) {
+                let at = bytes
+                    .first()
+                    .map_or(0, |byte| usize::from(*byte) % line.len());
+                let mixed = format!("{}{text}{}", &line[..at], &line[(at + 1).min(line.len())..]);
+                let mut fold = Fold::default();
+                if matches!(fold.apply(1, &mixed), Ok(Verdict::Accepted { .. })) {
+                    let restored = Fold::from_snapshot(&fold.snapshot()).unwrap();
+                    assert_eq!(restored.records(), fold.records());
+                }
+            }
+        });
+}
