Add the claim ledger for calls that may not be repeated

Cause: a sale may run at most once although instances race, replies are lost and processes pause or die. Change: module `claim` with keys, partition, ledger per log stream and ledger of issued keys. Conclusion: the ledger needs `failed` and `doubt` from the daemon after an append, and `unsent` after each refusal of a claim that may stand on the log.

--- /dev/null
+++ b/src/claim/issued.rs
@@ -0,0 +1,90 @@
+use crate::error::Kind;
+use crate::id::{Incarnation, InstanceId, Offset};
+
+use super::{issue, Entry, Key, Ledger, Outcome, Settings, Step};
+
+/// Decides for keys that this process issued. Only this incarnation runs them, so that its memory is the only record
+/// and no log is needed; after its end the answer is "outcome unknown".
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+pub struct Issued {
+    incarnation: Incarnation,
+    ledger: Ledger,
+    me: InstanceId,
+    offset: Offset,
+}
+
+impl Issued {
+    /// Makes the ledger of keys of one incarnation.
+    pub fn new(me: InstanceId, incarnation: Incarnation, settings: Settings) -> Issued {
+        Issued {
+            incarnation,
+            ledger: Ledger::new(me.clone(), incarnation, settings),
+            me,
+            offset: 0,
+        }
+    }
+
+    /// Starts a call under a key that [`scoped`](super::scoped) made; never returns [`Step::Append`].
+    pub fn begin(&mut self, key: &str, nonce: u64, now: u64) -> Step {
+        match Key::of_scoped(key) {
+            Err(error) => return Step::Refuse { kind: error.kind() },
+            Ok(Key::Caller { .. }) => {
+                return Step::Refuse {
+                    kind: Kind::BadRequest,
+                }
+            }
+            Ok(Key::Issued {
+                incarnation,
+                instance,
+                ..
+            }) => {
+                if incarnation != self.incarnation || instance != self.me {
+                    return Step::Refuse {
+                        kind: Kind::OutcomeUnknown,
+                    };
+                }
+            }
+        }
+        match self.ledger.begin(key, nonce, now) {
+            Step::Append { entry } => {
+                self.record(Some(entry), now);
+                self.ledger.poll(key, nonce, now)
+            }
+            step => step,
+        }
+    }
+
+    /// Checks just before the first byte is written; see [`Ledger::dispatch`].
+    pub fn dispatch(&mut self, key: &str, nonce: u64, now: u64) -> Step {
+        self.ledger.dispatch(key, nonce, now)
+    }
+
+    /// Records the outcome, `None` if it is not known.
+    pub fn finish(&mut self, key: &str, nonce: u64, outcome: Option<Outcome>, now: u64) {
+        let entry = self.ledger.finish(key, nonce, outcome);
+        self.record(entry, now);
+    }
+
+    /// Makes a key for `POST /v1/keys`.
+    pub fn issue(&self, nonce: u64, now: u64) -> String {
+        issue(&self.me, self.incarnation, nonce, now)
+    }
+
+    /// What to do now for a call that waits.
+    pub fn poll(&self, key: &str, nonce: u64, now: u64) -> Step {
+        self.ledger.poll(key, nonce, now)
+    }
+
+    /// Records that no byte was written; the next call with the key may run.
+    pub fn unsent(&mut self, key: &str, nonce: u64, now: u64) {
+        let entry = self.ledger.unsent(key, nonce);
+        self.record(entry, now);
+    }
+
+    fn record(&mut self, entry: Option<Entry>, now: u64) {
+        if let Some(entry) = entry {
+            self.offset += 1;
+            self.ledger.apply(self.offset, &entry, now);
+        }
+    }
+}
--- /dev/null
+++ b/src/claim/outcome.rs
@@ -0,0 +1,14 @@
+use serde::{Deserialize, Serialize};
+
+/// Largest body that is kept for repeats, in bytes; a larger one is recorded as "outcome unknown".
+pub const MAX_BODY_BYTES: usize = 64 * 1024;
+
+/// What a service answered.
+#[derive(Clone, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Outcome {
+    /// The body.
+    pub body: String,
+    /// The HTTP status.
+    pub status: u16,
+}
