Read each chunk of a pipe once

Cause: the reader of a pipe reset its position before it had the next chunk. While that chunk was pending, the old one was read again, so a paced stream repeated its frames. Change: the position is reset after the next chunk has arrived; a test sends each event after the one before was read. Result: the new test fails without the fix (event 0 twice) and passes with it. Conclusion: streams that are slower than their reader now arrive once.

--- a/http/src/pipe.rs
+++ b/http/src/pipe.rs
@@ -42,8 +42,9 @@
     fn poll_fill_buf(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<&[u8]>> {
         let this = self.get_mut();
         if this.position >= this.chunk.len() {
-            this.position = 0;
+            // While the next chunk is pending the old position must stay, or the old chunk is read again.
             this.chunk = ready!(this.receiver.as_mut().poll_next(cx)).unwrap_or_default();
+            this.position = 0;
         }
         Poll::Ready(Ok(&this.chunk[this.position..]))
     }
--- a/http/tests/exchange.rs
+++ b/http/tests/exchange.rs
@@ -71,6 +71,45 @@
     });
 }
 
+/// Guards against a chunk that is sent again while the next one is pending.
+#[test]
+fn paced_events() {
+    smol::block_on(async {
+        let (next, turns) = async_channel::bounded::<()>(1);
+        let server = Server::start(free(), move |_: Request, _: Peer| {
+            let turns = turns.clone();
+            async move {
+                let (writer, body) = pipe();
+                smol::spawn(async move {
+                    for index in 0..5 {
+                        turns.recv().await.unwrap();
+                        writer.send(format!("data: {index}\n\n")).await.unwrap();
+                    }
+                    let _ = turns.recv().await;
+                })
+                .detach();
+                let mut response = Response::new(200);
+                response.set_body(body);
+                response
+            }
+        })
+        .await
+        .unwrap();
+        let request = Client::request(Method::Get, server.address(), "/").unwrap();
+        let response = Client::default()
+            .stream(server.address(), request)
+            .await
+            .unwrap();
+        let mut events = Events::new(response);
+        for index in 0..5 {
+            next.send(()).await.unwrap();
+            assert_eq!(events.next().await.unwrap(), Some(index.to_string()));
+        }
+        next.send(()).await.unwrap();
+        assert_eq!(events.next().await.unwrap(), None);
+    });
+}
+
 #[test]
 fn caller_leaves() {
     smol::block_on(async {
