Add the stand-ins for the platform and the targets

Cause: the system needs engines, services, a log, an instance list and a weight store to run against. Conclusion: the daemon, the tests and the load generator can use them in process or as processes.

--- /dev/null
+++ b/standin/src/engine/mod.rs
@@ -0,0 +1,93 @@
+//! Model engine: continuous batching, prefix cache, KV handles, resume, orders, and crashes under load while cold.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+
+use smol::Task;
+
+use crate::engine::core::Core;
+use crate::engine::state::State;
+use crate::gate::Gate;
+use crate::host::Host;
+use crate::signal::Signal;
+
+mod cache;
+mod chain;
+mod core;
+mod feed;
+mod handle;
+mod journal;
+mod kv;
+mod load;
+mod order;
+mod report;
+mod settings;
+mod state;
+mod stream;
+mod work;
+
+pub use settings::Settings;
+
+/// A running engine; it ends when dropped.
+pub struct Engine {
+    core: Arc<Core>,
+    host: Host,
+    _work: Task<()>,
+}
+
+impl Engine {
+    /// Serves an engine on `address`.
+    ///
+    /// # Errors
+    /// Fails if a rate is not positive or the address cannot be bound.
+    pub async fn start(address: SocketAddr, settings: Settings) -> io::Result<Self> {
+        check(&settings)?;
+        let (gate, outages) = Gate::new();
+        let mut state = State::new(settings.clone());
+        state.note();
+        let core = Arc::new(Core {
+            arrivals: Signal::default(),
+            gate,
+            settings,
+            state: Mutex::new(state),
+        });
+        let host = Host::start(address, Arc::clone(&core), outages).await?;
+        let work = smol::spawn(Arc::clone(&core).prefill());
+        Ok(Self {
+            core,
+            host,
+            _work: work,
+        })
+    }
+
+    /// The address that the engine listens on.
+    pub fn address(&self) -> SocketAddr {
+        self.host.address()
+    }
+}
+
+impl Drop for Engine {
+    /// Ends all streams, so that the tasks that feed them end too.
+    fn drop(&mut self) {
+        self.core.lock().crash();
+    }
+}
+
+fn check(settings: &Settings) -> io::Result<()> {
+    let rates = [
+        ("cold_factor", settings.cold_factor),
+        ("decode_rate", settings.decode_rate),
+        ("prefill_rate", settings.prefill_rate),
+    ];
+    match rates
+        .iter()
+        .find(|(_, rate)| !(rate.is_finite() && *rate >= 1e-3))
+    {
+        Some((name, rate)) => Err(io::Error::new(
+            io::ErrorKind::InvalidInput,
+            format!("`{name}` must be at least 0.001, not `{rate}`"),
+        )),
+        None => Ok(()),
+    }
+}
--- /dev/null
+++ b/standin/src/log.rs
@@ -0,0 +1,280 @@
+//! Log service: append-only streams with offsets, long poll and limited retention.
+
+use std::collections::VecDeque;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use futures_lite::future;
+use jujubehook_http::http_types::{Method, Request, Response};
+use jujubehook_http::{json, Peer};
+use serde::Serialize;
+use serde_json::json as value;
+use smol::Timer;
+
+use crate::ask::{done, refuse, unknown, Ask, Refusal};
+use crate::bucket::Bucket;
+use crate::fault::Fault;
+use crate::gate::Gate;
+use crate::host::{Handler, Host};
+use crate::signal::Signal;
+
+/// Entries of one read if the caller sets no limit.
+const READ_LIMIT: u64 = 1_000;
+
+/// Longest long poll.
+const WAIT_LIMIT_MS: u64 = 60_000;
+
+/// Settings of the log.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Appends per second over all streams; 0 means no limit.
+    pub rate: f64,
+    /// Entries that each stream keeps.
+    pub retention: usize,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            rate: 0.0,
+            retention: 100_000,
+        }
+    }
+}
+
+/// A running log service; it ends when dropped.
+#[derive(Debug)]
+pub struct Log {
+    host: Host,
+}
+
+impl Log {
+    /// Serves a log on `address`.
+    ///
+    /// # Errors
+    /// Fails if the address cannot be bound.
+    pub async fn start(address: SocketAddr, settings: Settings) -> io::Result<Self> {
+        let (gate, outages) = Gate::new();
+        let state = State {
+            appends: 0,
+            bucket: bucket(settings.rate),
+            refused: 0,
+            retention: settings.retention,
+            streams: Vec::new(),
+        };
+        let core = Arc::new(Core {
+            appended: Signal::default(),
+            gate,
+            state: Mutex::new(state),
+        });
+        let host = Host::start(address, core, outages).await?;
+        Ok(Self { host })
+    }
+
+    /// The address that the log listens on.
+    pub fn address(&self) -> SocketAddr {
+        self.host.address()
+    }
+}
+
+struct Core {
+    appended: Signal,
+    gate: Gate,
+    state: Mutex<State>,
+}
+
+struct State {
+    appends: u64,
+    bucket: Bucket,
+    refused: u64,
+    retention: usize,
+    streams: Vec<Stream>,
+}
+
+struct Stream {
+    bodies: VecDeque<Arc<str>>,
+    first: u64,
+    name: String,
+}
+
+#[derive(Serialize)]
+struct Entry<'a> {
+    body: &'a str,
+    offset: u64,
+}
+
+impl Handler for Core {
+    async fn answer(self: Arc<Self>, request: Request, peer: Peer) -> Response {
+        let ask = match Ask::read(request).await {
+            Ok(ask) => ask,
+            Err(error) => return refuse(400, error.to_string()).into(),
+        };
+        match (ask.method, ask.segments().as_slice()) {
+            (Method::Get, ["stats"]) => self.stats(),
+            (Method::Post, ["fault"]) => self.fault(&ask).unwrap_or_else(Response::from),
+            (Method::Get, ["streams", name]) => {
+                self.gate.thaw().await;
+                let response = self.read(&ask, name, &peer).await;
+                let response = response.unwrap_or_else(Response::from);
+                self.gate.leave(response, &peer, false).await
+            }
+            (Method::Post, ["streams", name]) => {
+                self.gate.thaw().await;
+                let response = self.append(&ask, name).unwrap_or_else(Response::from);
+                self.gate.leave(response, &peer, true).await
+            }
+            _ => unknown(&ask).into(),
+        }
+    }
+}
+
+impl Core {
+    fn append(&self, ask: &Ask, name: &str) -> Result<Response, Refusal> {
+        let body = match String::from_utf8(ask.body.clone()) {
+            Ok(body) if serde_json::from_str::<serde::de::IgnoredAny>(&body).is_ok() => body,
+            Ok(_) | Err(_) => return Err(refuse(400, format!("entry for `{name}` is not JSON"))),
+        };
+        let mut state = self.lock();
+        if !state.bucket.take(Instant::now()) {
+            state.refused += 1;
+            return Err(refuse(429, "append rate limit"));
+        }
+        state.appends += 1;
+        let retention = state.retention;
+        let offset = state.stream(name).push(body.into(), retention);
+        drop(state);
+        self.appended.notify();
+        Ok(json(200, &value!({ "offset": offset })))
+    }
+
+    fn fault(&self, ask: &Ask) -> Result<Response, Refusal> {
+        let fault = Fault::read(ask, &["rate", "retention"])?;
+        let mut state = self.lock();
+        if let Some(rate) = fault.rate {
+            state.bucket = bucket(rate);
+        }
+        if let Some(retention) = fault.retention {
+            state.retain(retention);
+        }
+        drop(state);
+        self.gate.apply(&fault);
+        if let Some(ms) = fault.outage_ms(0) {
+            self.gate.cut_after_reply(Duration::from_millis(ms));
+        }
+        Ok(done())
+    }
+
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    async fn read(&self, ask: &Ask, name: &str, peer: &Peer) -> Result<Response, Refusal> {
+        let from = ask.number("from")?.unwrap_or(1).max(1);
+        let limit = ask.number("limit")?.unwrap_or(READ_LIMIT).max(1);
+        let wait = ask.number("wait_ms")?.unwrap_or(0).min(WAIT_LIMIT_MS);
+        let end = Instant::now() + Duration::from_millis(wait);
+        let poll = self.await_entry(name, from, end);
+        let _ = peer.race(poll).await;
+        let mut state = self.lock();
+        let stream = state.stream(name);
+        Ok(stream.page(from, limit))
+    }
+
+    async fn await_entry(&self, name: &str, from: u64, end: Instant) {
+        loop {
+            let listener = self.appended.listen();
+            if self.lock().stream(name).next() > from || Instant::now() >= end {
+                return;
+            }
+            future::or(listener.wait(), async {
+                Timer::at(end).await;
+            })
+            .await;
+        }
+    }
+
+    fn stats(&self) -> Response {
+        let state = self.lock();
+        let streams: Vec<_> = state
+            .streams
+            .iter()
+            .map(|stream| value!({ "first": stream.first, "name": stream.name, "next": stream.next() }))
+            .collect();
+        let (appends, refused) = (state.appends, state.refused);
+        json(
+            200,
+            &value!({ "appends": appends, "refused": refused, "streams": streams }),
+        )
+    }
+}
+
+impl State {
+    fn retain(&mut self, retention: usize) {
+        self.retention = retention;
+        for stream in &mut self.streams {
+            stream.trim(retention);
+        }
+    }
+
+    fn stream(&mut self, name: &str) -> &mut Stream {
+        let index = self
+            .streams
+            .binary_search_by(|stream| stream.name.as_str().cmp(name))
+            .unwrap_or_else(|index| {
+                self.streams.insert(index, Stream::new(name));
+                index
+            });
+        &mut self.streams[index]
+    }
+}
+
+impl Stream {
+    fn new(name: &str) -> Self {
+        Self {
+            bodies: VecDeque::new(),
+            first: 1,
+            name: name.to_owned(),
+        }
+    }
+
+    fn next(&self) -> u64 {
+        self.first + self.bodies.len() as u64
+    }
+
+    fn page(&self, from: u64, limit: u64) -> Response {
+        let start = from.max(self.first);
+        let entries: Vec<Entry<'_>> = (start..self.next())
+            .zip(self.bodies.iter().skip((start - self.first) as usize))
+            .take(limit as usize)
+            .map(|(offset, body)| Entry { body, offset })
+            .collect();
+        let next = entries
+            .last()
+            .map_or_else(|| self.next(), |entry| entry.offset + 1);
+        json(
+            200,
+            &value!({ "entries": entries, "first": self.first, "next": next }),
+        )
+    }
+
+    fn push(&mut self, body: Arc<str>, retention: usize) -> u64 {
+        let offset = self.next();
+        self.bodies.push_back(body);
+        self.trim(retention);
+        offset
+    }
+
+    fn trim(&mut self, retention: usize) {
+        while self.bodies.len() > retention {
+            self.bodies.pop_front();
+            self.first += 1;
+        }
+    }
+}
+
+/// A tenth of a second of appends may come at once.
+fn bucket(rate: f64) -> Bucket {
+    Bucket::new(rate, (rate / 10.0).max(1.0), Instant::now())
+}
--- /dev/null
+++ b/standin/src/warmth.rs
@@ -0,0 +1,85 @@
+//! Boot number and cold state of a target.
+
+use serde::Serialize;
+
+use crate::clock::unix_ms;
+
+/// Crashes kept in the statistics.
+const FALL_LIMIT: usize = 1_000;
+
+/// A crash under load while cold.
+#[derive(Clone, Copy, Debug, Serialize)]
+pub(crate) struct Fall {
+    pub(crate) at_ms: u64,
+    pub(crate) cold_since_ms: u64,
+    pub(crate) running: usize,
+}
+
+/// Whether a target is cold, and what happened while it was.
+#[derive(Debug)]
+pub(crate) struct Warmth {
+    pub(crate) boot: u64,
+    pub(crate) cold: bool,
+    cold_limit: usize,
+    cold_since_ms: u64,
+    completed: u64,
+    pub(crate) falls: Vec<Fall>,
+    pub(crate) peak_cold: usize,
+    warm_after: u64,
+}
+
+impl Warmth {
+    /// The state after a start. A `boot` of 0 takes the wall time, so that a restarted process has a new number.
+    pub(crate) fn new(boot: u64, cold: bool, cold_limit: usize, warm_after: u64) -> Self {
+        Self {
+            boot: if boot == 0 { unix_ms() } else { boot },
+            cold,
+            cold_limit,
+            cold_since_ms: unix_ms(),
+            completed: 0,
+            falls: Vec::new(),
+            peak_cold: 0,
+            warm_after,
+        }
+    }
+
+    /// A new boot, cold again.
+    pub(crate) fn boot(&mut self) {
+        self.boot += 1;
+        self.chill();
+    }
+
+    /// Turns cold without a new boot number.
+    pub(crate) fn chill(&mut self) {
+        self.cold = true;
+        self.cold_since_ms = unix_ms();
+        self.completed = 0;
+    }
+
+    /// Counts a completed request.
+    pub(crate) fn complete(&mut self) {
+        self.completed += 1;
+        if self.completed >= self.warm_after {
+            self.cold = false;
+        }
+    }
+
+    /// Records that `running` requests are open. Returns true if the target crashes under them.
+    pub(crate) fn load(&mut self, running: usize) -> bool {
+        if !self.cold {
+            return false;
+        }
+        self.peak_cold = self.peak_cold.max(running);
+        if running <= self.cold_limit {
+            return false;
+        }
+        if self.falls.len() < FALL_LIMIT {
+            self.falls.push(Fall {
+                at_ms: unix_ms(),
+                cold_since_ms: self.cold_since_ms,
+                running,
+            });
+        }
+        true
+    }
+}
--- /dev/null
+++ b/standin/tests/cold_engine.rs
@@ -0,0 +1,90 @@
+//! Cold engines crash above their limit and get warm by completed requests.
+
+mod common;
+
+use common::{ask, complete, engine, fault, open, quick, stats, try_open, until};
+use jujubehook_standin::engine::Settings;
+use serde_json::json;
+
+fn cold() -> Settings {
+    Settings {
+        cold: true,
+        cold_factor: 1.0,
+        cold_limit: 2,
+        decode_rate: 1.0,
+        restart_ms: 1,
+        warm_after: 2,
+        ..quick()
+    }
+}
+
+/// Guards against a crash that leaves streams, memory or the boot number as they were.
+#[test]
+fn crash_over_limit() {
+    smol::block_on(async {
+        let engine = engine(cold()).await;
+        let address = engine.address();
+        let first = open(address, &ask(1, "one", 100)).await;
+        let second = open(address, &ask(2, "two", 100)).await;
+        assert!(try_open(address, &ask(3, "three", 100)).await.is_err());
+        assert!(first.end().await.finish.is_none());
+        assert!(second.end().await.finish.is_none());
+        let stats = common::back(address).await;
+        assert_eq!((&stats["boot"], &stats["falls"]), (&json!(2), &json!(1)));
+        assert_eq!(
+            (&stats["cold"], &stats["peak_cold"]),
+            (&json!(true), &json!(3))
+        );
+        assert_eq!(
+            (&stats["running"], &stats["memory"]["reserved"]),
+            (&json!(0), &json!(0))
+        );
+    });
+}
+
+/// Guards against a limit that is one too low, and against an engine that stays cold.
+#[test]
+fn warm_by_work() {
+    smol::block_on(async {
+        let engine = engine(Settings {
+            decode_rate: 1_000.0,
+            ..cold()
+        })
+        .await;
+        let address = engine.address();
+        for attempt in 0..2 {
+            assert_eq!(stats(address).await["cold"], true);
+            complete(address, &ask(attempt, "prompt", 1)).await;
+        }
+        let stats = until(address, "warm", |stats| stats["cold"] == false).await;
+        assert_eq!(
+            (&stats["falls"], &stats["peak_cold"]),
+            (&json!(0), &json!(1))
+        );
+    });
+}
+
+/// Guards against a `cold` switch that changes the boot number or ends running streams.
+#[test]
+fn chill() {
+    smol::block_on(async {
+        let engine = engine(Settings {
+            cold: false,
+            ..cold()
+        })
+        .await;
+        let address = engine.address();
+        let mut streams = Vec::new();
+        for attempt in 0..3 {
+            streams.push(open(address, &ask(attempt, "prompt", 100)).await);
+        }
+        fault(address, json!({ "cold": true })).await;
+        let chilled = stats(address).await;
+        assert_eq!(
+            (&chilled["boot"], &chilled["running"]),
+            (&json!(1), &json!(3))
+        );
+        assert!(try_open(address, &ask(9, "prompt", 1)).await.is_err());
+        assert_eq!(common::back(address).await["falls"], 1);
+    });
+}
--- /dev/null
+++ b/standin/tests/common/mod.rs
@@ -0,0 +1,190 @@
+//! Requests to stand-ins.
+
+// Each test binary uses its own part of these helpers.
+#![allow(dead_code)]
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use jujubehook_http::http_types::{Body, Method, Response};
+use jujubehook_http::{within, Client, Error, Events, Reuse};
+use jujubehook_standin::{engine, Engine};
+use serde_json::{json, Value};
+use smol::Timer;
+
+/// Longest time that a test waits for an event.
+pub(crate) const PATIENCE: Duration = Duration::from_secs(20);
+
+/// Pause between two looks at the statistics of another thread.
+const POLL: Duration = Duration::from_millis(5);
+
+pub(crate) fn loopback() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+/// A warm, fast engine.
+pub(crate) fn quick() -> engine::Settings {
+    engine::Settings {
+        boot: 1,
+        cold: false,
+        decode_rate: 1_000.0,
+        lag_ms: 0,
+        prefill_rate: 10_000_000.0,
+        ..engine::Settings::default()
+    }
+}
+
+pub(crate) async fn engine(settings: engine::Settings) -> Engine {
+    Engine::start(loopback(), settings).await.unwrap()
+}
+
+pub(crate) async fn send(
+    address: SocketAddr,
+    method: Method,
+    path: &str,
+    body: Option<&Value>,
+) -> Result<(u16, Value), Error> {
+    let mut request = Client::request(method, address, path)?;
+    if let Some(body) = body {
+        request.set_body(body.to_string());
+    }
+    let client = Client::default();
+    let reply = client.fetch(address, request, Reuse::Never, 1 << 26);
+    let (response, bytes) = within(PATIENCE, reply).await?;
+    let value = serde_json::from_slice(&bytes).unwrap_or(Value::Null);
+    Ok((response.status().into(), value))
+}
+
+pub(crate) async fn get(address: SocketAddr, path: &str) -> (u16, Value) {
+    send(address, Method::Get, path, None).await.unwrap()
+}
+
+pub(crate) async fn post(address: SocketAddr, path: &str, body: Value) -> (u16, Value) {
+    let reply = send(address, Method::Post, path, Some(&body)).await;
+    reply.unwrap()
+}
+
+pub(crate) async fn delete(address: SocketAddr, path: &str) -> u16 {
+    send(address, Method::Delete, path, None).await.unwrap().0
+}
+
+pub(crate) async fn fault(address: SocketAddr, switches: Value) {
+    assert_eq!(post(address, "/fault", switches).await.0, 200);
+}
+
+pub(crate) async fn stats(address: SocketAddr) -> Value {
+    get(address, "/stats").await.1
+}
+
+/// Waits until the statistics satisfy a condition.
+pub(crate) async fn until(
+    address: SocketAddr,
+    what: &str,
+    condition: impl Fn(&Value) -> bool,
+) -> Value {
+    let poll = async {
+        loop {
+            let value = stats(address).await;
+            if condition(&value) {
+                return Ok(value);
+            }
+            Timer::after(POLL).await;
+        }
+    };
+    let value = within(PATIENCE, poll).await;
+    value.unwrap_or_else(|_| panic!("timed out: {what}"))
+}
+
+/// Waits until a server that was away answers again.
+pub(crate) async fn back(address: SocketAddr) -> Value {
+    let poll = async {
+        loop {
+            match send(address, Method::Get, "/stats", None).await {
+                Ok((200, value)) => return Ok(value),
+                Ok(_) | Err(_) => Timer::after(POLL).await,
+            };
+        }
+    };
+    within(PATIENCE, poll).await.unwrap()
+}
+
+/// The body of a completions request.
+pub(crate) fn ask(attempt: u64, prompt: &str, max_tokens: u64) -> Value {
+    json!({
+        "attempt": format!("{attempt:016x}"),
+        "max_tokens": max_tokens,
+        "model": "m",
+        "prompt": prompt,
+        "stream": true,
+    })
+}
+
+/// Opens a stream.
+pub(crate) async fn open(address: SocketAddr, body: &Value) -> Reader {
+    let response = try_open(address, body).await.unwrap();
+    assert_eq!(u16::from(response.status()), 200);
+    Reader::new(response)
+}
+
+pub(crate) async fn try_open(address: SocketAddr, body: &Value) -> Result<Response, Error> {
+    let mut request = Client::request(Method::Post, address, "/v1/completions")?;
+    request.set_body(body.to_string());
+    within(PATIENCE, Client::default().stream(address, request)).await
+}
+
+pub(crate) async fn resume(address: SocketAddr, attempt: u64, from: u64) -> Reader {
+    let path = format!("/v1/streams/{attempt:016x}?from={from}");
+    let request = Client::request(Method::Get, address, &path).unwrap();
+    let response = Client::default().stream(address, request).await.unwrap();
+    assert_eq!(u16::from(response.status()), 200);
+    Reader::new(response)
+}
+
+/// Runs a request to its end.
+pub(crate) async fn complete(address: SocketAddr, body: &Value) -> End {
+    open(address, body).await.end().await
+}
+
+/// Reads a stream; dropping it closes the connection.
+pub(crate) struct Reader {
+    events: Events<Body>,
+}
+
+/// A stream that was read to its end.
+#[derive(Debug, Default)]
+pub(crate) struct End {
+    /// The final event, unless the stream was cut.
+    pub(crate) finish: Option<Value>,
+    pub(crate) text: String,
+}
+
+impl End {
+    pub(crate) fn cached(&self) -> u64 {
+        self.finish.as_ref().unwrap()["cached"].as_u64().unwrap()
+    }
+}
+
+impl Reader {
+    fn new(mut response: Response) -> Self {
+        Self {
+            events: Events::new(response.take_body()),
+        }
+    }
+
+    /// The next event, or `None` if the stream is over or cut.
+    pub(crate) async fn next(&mut self) -> Option<Value> {
+        let event = within(PATIENCE, self.events.next()).await.ok()??;
+        serde_json::from_str(&event).ok()
+    }
+
+    pub(crate) async fn end(mut self) -> End {
+        let mut end = End::default();
+        while let Some(event) = self.next().await {
+            match event["text"].as_str() {
+                Some(text) => end.text.push_str(text),
+                None => end.finish = Some(event),
+            }
+        }
+        end
+    }
+}
