--- a/http/src/client.rs
+++ b/http/src/client.rs
@@ -74,8 +74,7 @@
     /// # Errors
     /// `Error::Connect` means that no byte was written; after every other error the request may have been seen.
     pub async fn stream(&self, address: SocketAddr, request: Request) -> Result<Response, Error> {
-        let stream = connect(address).await?;
-        send(stream, request).await
+        Connection::open(address).await?.send(request).await
     }
 
     async fn exchange(
@@ -117,6 +116,31 @@
     }
 }
 
+/// An open connection over which nothing was sent yet.
+#[derive(Debug)]
+pub struct Connection {
+    stream: TcpStream,
+}
+
+impl Connection {
+    /// Opens a connection, so that a last check can be made between connecting and writing.
+    ///
+    /// # Errors
+    /// `Error::Connect`: no byte was written.
+    pub async fn open(address: SocketAddr) -> Result<Self, Error> {
+        let stream = connect(address).await?;
+        Ok(Self { stream })
+    }
+
+    /// Sends the request and returns the answer with its body unread.
+    ///
+    /// # Errors
+    /// After any error the request may have been seen.
+    pub async fn send(self, request: Request) -> Result<Response, Error> {
+        send(self.stream, request).await
+    }
+}
+
 async fn connect(address: SocketAddr) -> Result<TcpStream, Error> {
     let stream = TcpStream::connect(address)
         .await
--- a/http/src/lib.rs
+++ b/http/src/lib.rs
@@ -12,6 +12,7 @@
 mod sse;
 
 pub use client::Client;
+pub use client::Connection;
 pub use client::Reuse;
 pub use error::Error;
 pub use http_types;
--- /dev/null
+++ b/src/daemon/api/caller.rs
@@ -0,0 +1,78 @@
+use std::time::Duration;
+
+use jujubehook_http::http_types::Request;
+use jujubehook_http::{read, within};
+use sha2::{Digest, Sha256};
+
+use crate::daemon::state::State;
+use crate::error::{Error, Kind};
+use crate::record::Workspace;
+
+/// Time that a caller has to send its body.
+const BODY_TIMEOUT: Duration = Duration::from_secs(30);
+
+/// Header with the time in milliseconds that the caller gives the request.
+const DEADLINE_HEADER: &str = "x-deadline-ms";
+
+const SCHEME: &str = "Bearer ";
+
+/// Finds the workspace of the key that the caller presents.
+pub(super) fn workspace(state: &State, request: &Request) -> Result<Workspace, Error> {
+    if !state.is_synced() {
+        let message = "the configuration is not known yet";
+        return Err(Error::new(Kind::Unavailable, message).retry_after(Duration::from_secs(1)));
+    }
+    let key = request
+        .header("authorization")
+        .and_then(|values| values.last().as_str().strip_prefix(SCHEME));
+    let Some(key) = key else {
+        let message = "the header `authorization` must be `Bearer` and a workspace key";
+        return Err(Error::new(Kind::Unauthorized, message));
+    };
+    let digest: [u8; 32] = Sha256::digest(key.as_bytes()).into();
+    state
+        .fold()
+        .workspace_by_key(&digest)
+        .cloned()
+        .ok_or_else(|| Error::new(Kind::Unauthorized, "the workspace key is not known"))
+}
+
+/// The time that the request may take.
+pub(super) fn deadline(state: &State, request: &Request) -> Result<Duration, Error> {
+    let limits = &state.settings.limits;
+    let Some(values) = request.header(DEADLINE_HEADER) else {
+        return Ok(limits.deadline);
+    };
+    let value = values.last().as_str();
+    let millis: u64 = value.parse().map_err(|_| {
+        let message = format!("`{DEADLINE_HEADER}` is `{value}`, must be a number");
+        Error::new(Kind::BadRequest, message)
+    })?;
+    if millis == 0 {
+        let message = "the deadline has passed already";
+        return Err(Error::new(Kind::DeadlineRefused, message));
+    }
+    let limit = Duration::from_millis(millis);
+    if limit > limits.deadline_max {
+        let max = limits.deadline_max.as_millis();
+        let message = format!("`{DEADLINE_HEADER}` is {millis}, must be at most {max}");
+        return Err(Error::new(Kind::BadRequest, message));
+    }
+    Ok(limit)
+}
+
+/// Reads the body, up to the limit of the settings.
+pub(super) async fn body(state: &State, request: &mut Request) -> Result<Vec<u8>, Error> {
+    use jujubehook_http::Error as Http;
+
+    let body = request.take_body();
+    let limit = state.settings.limits.body;
+    match within(BODY_TIMEOUT, read(body, limit)).await {
+        Ok(bytes) => Ok(bytes),
+        Err(error @ Http::TooLarge(_)) => Err(Error::new(Kind::TooLarge, error.to_string())),
+        Err(error) => Err(Error::new(
+            Kind::BadRequest,
+            format!("cannot read the body: {error}"),
+        )),
+    }
+}
--- /dev/null
+++ b/src/daemon/api/mod.rs
@@ -0,0 +1,65 @@
+//! The callers' side: completions, calls to plain services, keys, health and metrics.
+
+mod answer;
+mod caller;
+mod completion;
+mod key;
+mod prompt;
+mod service;
+
+use std::sync::Arc;
+
+use jujubehook_http::http_types::{Method, Request, Response, StatusCode};
+use jujubehook_http::{json, text, Peer};
+
+use super::state::State;
+use crate::error::{Error, Kind};
+
+/// Answers one request of a caller, or of anything that watches the instance.
+pub(super) async fn serve(state: Arc<State>, request: Request, peer: Peer) -> Response {
+    let path = request.url().path().to_owned();
+    match (request.method(), path.as_str()) {
+        (Method::Get, "/healthz") => text(200, "ok\n"),
+        (Method::Get, "/metrics") => text(200, state.metrics.render()),
+        (Method::Get, "/readyz") => ready(&state),
+        (Method::Post, "/v1/chat/completions") => {
+            completion::serve(&state, request, &peer, prompt::Form::Chat).await
+        }
+        (Method::Post, "/v1/completions") => {
+            completion::serve(&state, request, &peer, prompt::Form::Text).await
+        }
+        (Method::Post, "/v1/keys") => key::serve(&state, &request),
+        (Method::Post, path) => match service::split(path) {
+            Some((service, call)) => service::serve(&state, request, service, call).await,
+            None => unknown(path),
+        },
+        _ => unknown(&path),
+    }
+}
+
+/// The answer for an error.
+pub(super) fn failed(error: &Error) -> Response {
+    let mut response = json(error.kind().status(), &error.answer());
+    if let Some(wait) = error.wait() {
+        // The header has whole seconds; rounding down would invite a repeat that comes too early.
+        let seconds = wait.as_millis().div_ceil(1000);
+        response.insert_header("retry-after", seconds.to_string());
+    }
+    response
+}
+
+fn ready(state: &State) -> Response {
+    if state.is_ready() {
+        return text(200, "ready\n");
+    }
+    text(503, "not ready\n")
+}
+
+fn unknown(path: &str) -> Response {
+    let mut response = failed(&Error::new(
+        Kind::BadRequest,
+        format!("no such path or method: `{path}`"),
+    ));
+    response.set_status(StatusCode::NotFound);
+    response
+}
--- /dev/null
+++ b/src/daemon/candidates.rs
@@ -0,0 +1,89 @@
+use std::sync::Arc;
+
+use super::state::{lock, State};
+use crate::error::{Error, Kind};
+use crate::id::Tokens;
+use crate::platform::{Member, Role};
+use crate::record::Fold;
+use crate::route::Candidate;
+use crate::target::{Class, Load};
+
+/// Targets that serve the model and may take new work, sorted by id.
+pub(super) fn candidates(
+    state: &Arc<State>,
+    class: Class,
+    model: &str,
+) -> Result<Vec<Candidate>, Error> {
+    let serves = |member: &Member| member.model.as_deref() == Some(model);
+    pool(state, class, Role::Engine, serves).unwrap_or_else(|| {
+        let message = format!("no target serves the model `{model}`");
+        Err(Error::new(Kind::UnknownModel, message))
+    })
+}
+
+/// Targets of a plain service that may take new work, sorted by id.
+pub(super) fn services(state: &Arc<State>, service: &str) -> Result<Vec<Candidate>, Error> {
+    let serves = |member: &Member| member.service.as_deref() == Some(service);
+    pool(state, Class::Short, Role::Service, serves).unwrap_or_else(|| {
+        let message = format!("no target serves `{service}`");
+        Err(Error::new(Kind::UnknownService, message))
+    })
+}
+
+/// `None` if no target is listed at all; an error if none of them may take new work.
+fn pool(
+    state: &Arc<State>,
+    class: Class,
+    role: Role,
+    serves: impl Fn(&Member) -> bool,
+) -> Option<Result<Vec<Candidate>, Error>> {
+    let listing = state.listing();
+    let serving: Vec<&Member> = listing
+        .instances
+        .iter()
+        .filter(|member| member.role == role && serves(member))
+        .collect();
+    if serving.is_empty() {
+        return None;
+    }
+    let usable: Vec<&Member> = serving
+        .into_iter()
+        .filter(|member| state.in_service(&member.id))
+        .collect();
+    if usable.is_empty() {
+        let message = "every target of this kind is out of service or leaving";
+        return Some(Err(Error::new(Kind::Unavailable, message)));
+    }
+    Some(Ok(describe(state, class, &usable)))
+}
+
+fn describe(state: &Arc<State>, class: Class, members: &[&Member]) -> Vec<Candidate> {
+    let now = state.clock.now();
+    let fold = state.fold();
+    let settings = state.settings.queue.target();
+    let outlier = lock(&state.outlier);
+    members
+        .iter()
+        .map(|member| Candidate {
+            domain: member.domain.clone(),
+            ejected: outlier.ejected(&member.id, members.len(), now),
+            load: load(state, member),
+            memory: settings.capacity(class, memory(&fold, member).unwrap_or(settings.memory)),
+            target: member.id.clone(),
+        })
+        .collect()
+}
+
+/// The load of a target: exact where this instance dispatches to it, else the last report.
+fn load(state: &Arc<State>, member: &Member) -> Option<Load> {
+    let now = state.clock.now();
+    let dispatches = !state.owned() || lock(&state.owner).may_dispatch(&member.id, now);
+    match state.existing(&member.id) {
+        Some(slot) if dispatches => Some(slot.load(now)),
+        _ => lock(&state.loads).get(&member.id, now),
+    }
+}
+
+fn memory(fold: &Fold, member: &Member) -> Option<Tokens> {
+    fold.target(&member.id).and_then(|record| record.memory)
+}
--- /dev/null
+++ b/src/daemon/client.rs
@@ -0,0 +1,99 @@
+use std::time::Duration;
+
+use jujubehook_http::http_types::{Method, Request, Response};
+use jujubehook_http::{read, within, Client, Connection};
+use serde::de::DeserializeOwned;
+use serde::Serialize;
+
+use super::state::{lock, State};
+use crate::error::{Error, Kind};
+use crate::platform::Member;
+use crate::wire::{self, Answer};
+
+/// Longest wait for a peer to accept a connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Largest accepted answer of a peer in bytes; a snapshot of all records is the largest.
+const ANSWER_LIMIT: usize = 32 << 20;
+
+/// Header with the key that instances share.
+pub(crate) const KEY_HEADER: &str = "x-peer-key";
+
+/// Header with the logical time of the sender.
+pub(crate) const TIME_HEADER: &str = "x-time";
+
+/// Sends a message to a peer and decodes its answer.
+///
+/// An error of kind `Unavailable` or one that the peer reports states whether something was run; a connection that
+/// is lost after the message was sent is `UpstreamFailed`.
+pub(crate) async fn call<T: DeserializeOwned>(
+    state: &State,
+    peer: &Member,
+    path: &str,
+    message: &impl Serialize,
+    limit: Duration,
+) -> Result<T, Error> {
+    let connection = connect(state, peer).await?;
+    let request = request(state, peer, path, message)?;
+    state
+        .metrics
+        .control_sent(path.len() + request.len().unwrap_or_default());
+    let work = async {
+        let mut response = connection.send(request).await?;
+        let bytes = read(response.take_body(), ANSWER_LIMIT).await?;
+        Ok((response, bytes))
+    };
+    let (response, bytes) = within(limit, work)
+        .await
+        .map_err(|error| lost(peer, &error))?;
+    accept(state, peer, &response)?;
+    let answer: Answer<T> = wire::decode(&bytes)?;
+    Ok(answer?)
+}
+
+/// Checks the status of a peer's answer and takes over its logical time.
+pub(crate) fn accept(state: &State, peer: &Member, response: &Response) -> Result<(), Error> {
+    if let Some(time) = response
+        .header(TIME_HEADER)
+        .and_then(|values| values.last().as_str().parse().ok())
+    {
+        state.clock.merge(time);
+    }
+    if response.status().is_success() {
+        return Ok(());
+    }
+    let message = format!("`{}` answered with status {}", peer.id, response.status());
+    Err(Error::new(Kind::Unavailable, message))
+}
+
+/// Opens a connection to a peer; a failure proves that nothing was sent.
+pub(crate) async fn connect(state: &State, peer: &Member) -> Result<Connection, Error> {
+    let now = state.clock.now();
+    let outcome = within(CONNECT_TIMEOUT, Connection::open(peer.address)).await;
+    lock(&state.outlier).record(&peer.id, outcome.is_ok(), now);
+    outcome.map_err(|error| {
+        let message = format!("cannot reach `{}`: {error}", peer.id);
+        Error::new(Kind::Unavailable, message)
+    })
+}
+
+/// Makes a request to a peer with the shared key and the logical time.
+pub(crate) fn request(
+    state: &State,
+    peer: &Member,
+    path: &str,
+    message: &impl Serialize,
+) -> Result<Request, Error> {
+    let mut request = Client::request(Method::Post, peer.address, path)
+        .map_err(|error| Error::new(Kind::Internal, error.to_string()))?;
+    request.insert_header(KEY_HEADER, state.settings.peer_key.as_str());
+    request.insert_header(TIME_HEADER, state.clock.tick().to_string());
+    request.set_body(wire::encode(message));
+    Ok(request)
+}
+
+/// The error for a connection that broke after the message was sent.
+pub(crate) fn lost(peer: &Member, error: &jujubehook_http::Error) -> Error {
+    let message = format!("lost the connection to `{}`: {error}", peer.id);
+    Error::new(Kind::UpstreamFailed, message)
+}
--- /dev/null
+++ b/src/daemon/frames.rs
@@ -0,0 +1,92 @@
+use std::sync::Arc;
+
+use async_channel::Receiver;
+use jujubehook_http::http_types::Response;
+use smol::Task;
+
+use super::client;
+use super::serve::{self, Output};
+use super::state::State;
+use crate::error::{Error, Kind};
+use crate::event;
+use crate::event::hex;
+use crate::platform::Member;
+use crate::wire::{self, Body, Check, Frame, Run};
+
+/// Frames that may wait between the queue and the caller.
+const FRAME_BUFFER: usize = 64;
+
+/// The frames of one attempt, from this instance or another one. Dropping it cancels the attempt.
+pub(crate) struct Frames {
+    check: Check,
+    source: Source,
+}
+
+enum Source {
+    Local {
+        receiver: Receiver<Frame>,
+        _task: Task<()>,
+    },
+    Remote(Box<Response>),
+}
+
+impl Frames {
+    /// Starts an attempt at the target's owner.
+    pub(crate) async fn open(state: &Arc<State>, mut run: Run) -> Result<Self, Error> {
+        let check = Check::new(run.attempt, run.start);
+        let source = match state.route(&run.target, run.hops)? {
+            None => local(state, run),
+            Some(peer) => {
+                run.hops += 1;
+                remote(state, &peer, &run).await?
+            }
+        };
+        Ok(Self { check, source })
+    }
+
+    /// The next frame's body; an end without `End` or `Fail` is an error.
+    pub(crate) async fn next(&mut self, state: &State) -> Result<Body, Error> {
+        let frame = match &mut self.source {
+            Source::Local { receiver, .. } => receiver.recv().await.ok(),
+            Source::Remote(response) => wire::unpack(response).await?,
+        };
+        let Some(frame) = frame else {
+            let message = "the stream ended before its end";
+            return Err(Error::new(Kind::UpstreamFailed, message));
+        };
+        self.check.accept(&frame)?;
+        state.clock.merge(frame.time);
+        Ok(frame.body)
+    }
+}
+
+fn local(state: &Arc<State>, run: Run) -> Source {
+    let (sender, receiver) = async_channel::bounded(FRAME_BUFFER);
+    let output = Output::new(run.attempt, state.clock.clone(), sender);
+    let state = state.clone();
+    let task = smol::spawn(async move { serve::run(&state, run, output).await });
+    Source::Local {
+        receiver,
+        _task: task,
+    }
+}
+
+async fn remote(state: &Arc<State>, peer: &Member, run: &Run) -> Result<Source, Error> {
+    let connection = client::connect(state, peer).await?;
+    let request = client::request(state, peer, "/peer/run", run)?;
+    event!(
+        state.source,
+        "forward",
+        request = hex(run.request),
+        attempt = hex(run.attempt),
+        target = run.target.as_str(),
+        peer = peer.id.as_str()
+    );
+    state.metrics.forwarded();
+    let response = connection
+        .send(request)
+        .await
+        .map_err(|error| client::lost(peer, &error))?;
+    client::accept(state, peer, &response)?;
+    Ok(Source::Remote(Box::new(response)))
+}
--- /dev/null
+++ b/src/daemon/loads.rs
@@ -0,0 +1,51 @@
+use std::time::Duration;
+
+use crate::id::TargetId;
+use crate::target::Load;
+
+/// Age at which a load report says nothing any more.
+const REPORT_LIFETIME: Duration = Duration::from_secs(5);
+
+/// Last known load of targets that other instances own.
+#[derive(Debug, Default)]
+pub(crate) struct Loads {
+    reports: Vec<Report>,
+}
+
+#[derive(Debug)]
+struct Report {
+    load: Load,
+    target: TargetId,
+    time: Duration,
+}
+
+impl Loads {
+    pub(crate) fn set(&mut self, target: &TargetId, load: Load, now: Duration) {
+        let report = Report {
+            load,
+            target: target.clone(),
+            time: now,
+        };
+        match self.find(target) {
+            Ok(index) => self.reports[index] = report,
+            Err(index) => self.reports.insert(index, report),
+        }
+    }
+
+    /// The load with the backlog reduced by the age of the report.
+    pub(crate) fn get(&self, target: &TargetId, now: Duration) -> Option<Load> {
+        let report = &self.reports[self.find(target).ok()?];
+        let age = now.saturating_sub(report.time);
+        if age > REPORT_LIFETIME {
+            return None;
+        }
+        let mut load = report.load.clone();
+        load.backlog = load.backlog.saturating_sub(age);
+        Some(load)
+    }
+
+    fn find(&self, target: &TargetId) -> Result<usize, usize> {
+        self.reports
+            .binary_search_by(|report| report.target.cmp(target))
+    }
+}
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -1,1 +1,149 @@
 //! The daemon: caller API, peer API and background loops.
+
+mod answer;
+mod api;
+mod calls;
+mod candidates;
+mod client;
+mod frames;
+mod loads;
+mod long;
+mod once;
+mod peer;
+mod serve;
+mod state;
+mod status;
+mod task;
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use jujubehook_http::Server;
+use smol::net::UdpSocket;
+use smol::{Task, Timer};
+
+use crate::clock::Clock;
+use crate::error::{Error, Kind};
+use crate::event;
+use crate::settings::Settings;
+use state::{lock, State};
+
+/// Instances that a message may pass on its way to a target.
+const HOP_LIMIT: u8 = 2;
+
+/// Longest time for requests in progress during a graceful shutdown.
+const DRAIN_LIMIT: Duration = Duration::from_secs(600);
+
+/// Time between two looks at the requests in progress during a graceful shutdown.
+const DRAIN_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Prefix of the paths that only peers and operators may use.
+const PEER_PATH: &str = "/peer/";
+
+/// A running daemon. Dropping it stops it at once; [`Daemon::shutdown`] stops it without cutting a request.
+pub struct Daemon {
+    server: Server,
+    state: Arc<State>,
+    _tasks: Vec<Task<()>>,
+}
+
+impl Daemon {
+    /// Starts a daemon.
+    ///
+    /// # Errors
+    /// Fails if an address cannot be bound or the routing policy is unknown.
+    pub async fn start(settings: Settings) -> Result<Self, Error> {
+        let listen = settings.listen;
+        let state = Arc::new(State::new(settings, Arc::new(Clock::new()))?);
+        let shared = state.clone();
+        let server = Server::start(listen, move |request, peer| {
+            let state = shared.clone();
+            async move {
+                if request.url().path().starts_with(PEER_PATH) {
+                    return peer::answer(state, request, peer).await;
+                }
+                api::serve(state, request, peer).await
+            }
+        })
+        .await
+        .map_err(|error| bind(listen, &error))?;
+        let socket = UdpSocket::bind(server.address())
+            .await
+            .map_err(|error| bind(server.address(), &error))?;
+        event!(
+            state.source,
+            "started",
+            address = %server.address(),
+            incarnation = event::hex(state.incarnation),
+            policy = state.settings.policy.as_str()
+        );
+        let tasks = tasks(&state, socket);
+        Ok(Self {
+            server,
+            state,
+            _tasks: tasks,
+        })
+    }
+
+    /// The address for callers and peers.
+    pub fn address(&self) -> SocketAddr {
+        self.server.address()
+    }
+
+    /// Whether callers should be sent to this instance.
+    pub fn is_ready(&self) -> bool {
+        self.state.is_ready()
+    }
+
+    /// Number of targets that this instance dispatches to.
+    pub fn owned_targets(&self) -> usize {
+        let now = self.state.clock.now();
+        let targets = self.state.targets();
+        let owner = lock(&self.state.owner);
+        targets
+            .iter()
+            .filter(|target| owner.may_dispatch(target, now))
+            .count()
+    }
+
+    /// Hands targets over, waits for the requests in progress, then stops.
+    pub async fn shutdown(self) {
+        let state = &self.state;
+        state.leave();
+        let now = state.clock.now();
+        let actions = lock(&state.owner).leave(now);
+        task::beat::act(state, actions);
+        event!(state.source, "leaving", requests = state.active());
+        let until = now + DRAIN_LIMIT;
+        // Callers that the balancer still sends here are served until the heartbeats have told every peer.
+        Timer::after(state.settings.network.heartbeat * 2).await;
+        while (state.active() > 0 || self.is_busy()) && state.clock.now() < until {
+            Timer::after(DRAIN_INTERVAL).await;
+        }
+        event!(state.source, "stopped", requests = state.active());
+    }
+
+    /// Whether work of other instances is still queued or running here.
+    fn is_busy(&self) -> bool {
+        let state = &self.state;
+        state.slots().iter().any(|slot| slot.is_busy())
+    }
+}
+
+fn bind(address: SocketAddr, error: &std::io::Error) -> Error {
+    Error::new(Kind::Internal, format!("cannot bind `{address}`: {error}"))
+}
+
+fn tasks(state: &Arc<State>, socket: UdpSocket) -> Vec<Task<()>> {
+    vec![
+        smol::spawn(task::beat::send(state.clone(), socket.clone())),
+        smol::spawn(task::beat::receive(state.clone(), socket)),
+        smol::spawn(task::beat::tick(state.clone())),
+        smol::spawn(task::follow::run(state.clone())),
+        smol::spawn(task::follow::catch_up(state.clone())),
+        smol::spawn(task::list::run(state.clone())),
+        smol::spawn(task::pump::run(state.clone())),
+        smol::spawn(task::reap::run(state.clone())),
+    ]
+}
--- /dev/null
+++ b/src/daemon/once/memory.rs
@@ -0,0 +1,49 @@
+use std::future::Future;
+use std::pin::Pin;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use smol::Timer;
+
+use super::Book;
+use crate::claim::{Issued, Outcome, Step};
+use crate::daemon::state::lock;
+
+/// Keys that this process issued, decided in its memory.
+pub(super) struct Memory {
+    issued: Arc<Mutex<Issued>>,
+}
+
+impl Memory {
+    pub(super) fn new(issued: Arc<Mutex<Issued>>) -> Self {
+        Self { issued }
+    }
+}
+
+impl Book for Memory {
+    fn begin(&self, key: &str, nonce: u64, now: u64) -> Step {
+        lock(&self.issued).begin(key, nonce, now)
+    }
+
+    fn changed(&self, limit: Duration) -> Pin<Box<dyn Future<Output = ()> + Send + '_>> {
+        Box::pin(async move {
+            Timer::after(limit).await;
+        })
+    }
+
+    fn dispatch(&self, key: &str, nonce: u64, now: u64) -> Step {
+        lock(&self.issued).dispatch(key, nonce, now)
+    }
+
+    fn finish(&self, key: &str, nonce: u64, outcome: Option<Outcome>, now: u64) {
+        lock(&self.issued).finish(key, nonce, outcome, now);
+    }
+
+    fn poll(&self, key: &str, nonce: u64, now: u64) -> Step {
+        lock(&self.issued).poll(key, nonce, now)
+    }
+
+    fn unsent(&self, key: &str, nonce: u64, now: u64) {
+        lock(&self.issued).unsent(key, nonce, now);
+    }
+}
--- /dev/null
+++ b/src/daemon/once/mod.rs
@@ -0,0 +1,257 @@
+//! Calls that may not be repeated: where they run and how their claims are decided.
+
+mod book;
+mod memory;
+mod partition;
+
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use smol::Timer;
+
+use super::state::{lock, unguessable, State};
+use super::{calls, client};
+use crate::claim::{self, Issued, Key, Outcome, Step, PARTITIONS};
+use crate::error::{Error, Executed, Kind};
+use crate::event;
+use crate::event::hex;
+use crate::id::{Incarnation, InstanceId};
+use crate::owner;
+use crate::wire::{Call, Reply};
+use book::Book;
+use memory::Memory;
+use partition::Partition;
+
+/// Time between two looks at a claim that waits, if nothing is read in between.
+const POLL: Duration = Duration::from_millis(50);
+
+/// Time that other hops need on top of the deadline to report it themselves.
+const FORWARD_GRACE: Duration = Duration::from_millis(500);
+
+/// Claims that this instance decides.
+pub(crate) struct Claims {
+    issued: Arc<Mutex<Issued>>,
+    partitions: Vec<Arc<Partition>>,
+    settings: claim::Settings,
+}
+
+impl Claims {
+    pub(crate) fn new(me: &InstanceId, incarnation: Incarnation) -> Self {
+        let settings = claim::Settings::default();
+        Self {
+            issued: Arc::new(Mutex::new(Issued::new(me.clone(), incarnation, settings))),
+            partitions: (0..PARTITIONS)
+                .map(|index| Arc::new(Partition::new(index, me, incarnation, settings)))
+                .collect(),
+            settings,
+        }
+    }
+
+    /// Issues a key that this process alone runs.
+    pub(crate) fn issue(&self, now: u64) -> String {
+        lock(&self.issued).issue(unguessable(), now)
+    }
+}
+
+/// Runs a call at most once, here or at the instance that decides its claim.
+pub(crate) async fn run(state: &Arc<State>, call: Call) -> Result<Reply, Error> {
+    let Some(key) = call.key.clone() else {
+        return Err(Error::new(Kind::BadRequest, "the call has no key"));
+    };
+    let now = state.clock.unix_ms();
+    match Key::parse(&key, &state.claims.settings, now)? {
+        Key::Caller { .. } => run_claimed(state, call, &key).await,
+        Key::Issued { instance, .. } => run_issued(state, call, &key, &instance).await,
+    }
+}
+
+/// Equal keys of two workspaces or two calls are different keys.
+fn scoped(call: &Call, key: &str) -> String {
+    let scope = format!("{}/{}/{}", call.workspace, call.service, call.name);
+    claim::scoped(&scope, key)
+}
+
+async fn run_issued(
+    state: &Arc<State>,
+    call: Call,
+    key: &str,
+    instance: &InstanceId,
+) -> Result<Reply, Error> {
+    if *instance == state.settings.instance {
+        let book = Memory::new(state.claims.issued.clone());
+        return run_here(state, call, key, &book).await;
+    }
+    if state.listing().member(instance).is_none() {
+        let message = format!("`{instance}`, which issued the key, is gone");
+        return Err(Error::new(Kind::OutcomeUnknown, message));
+    }
+    forward(state, call, instance).await
+}
+
+async fn run_claimed(state: &Arc<State>, call: Call, key: &str) -> Result<Reply, Error> {
+    let index = claim::partition(&scoped(&call, key));
+    if call.hops == 0 {
+        let claimer = claimer(state, index);
+        if let Some(claimer) = claimer.filter(|claimer| *claimer != state.settings.instance) {
+            match forward(state, call.clone(), &claimer).await {
+                // The order of the log decides, so any instance can take the place of one that is out of reach.
+                Err(error) if error.kind() == Kind::Unavailable => {}
+                outcome => return outcome,
+            }
+        }
+    }
+    let partition = state.claims.partitions[index as usize].clone();
+    partition.start(state);
+    let book = partition::Handle::new(partition);
+    run_here(state, call, key, &book).await
+}
+
+/// The instance of the own domain that decides the claims of a partition, so that each domain reads each stream once.
+fn claimer(state: &State, partition: u64) -> Option<InstanceId> {
+    let mut live = lock(&state.owner).live(state.clock.now());
+    live.push(state.settings.instance.clone());
+    live.sort_unstable();
+    owner::candidate(&format!("claims-{partition}"), &live)
+}
+
+async fn forward(state: &Arc<State>, mut call: Call, to: &InstanceId) -> Result<Reply, Error> {
+    let Some(peer) = state.listing().member(to).cloned() else {
+        let message = format!("`{to}` is not listed any more");
+        return Err(Error::new(Kind::Unavailable, message));
+    };
+    call.hops += 1;
+    let limit = Duration::from_millis(call.deadline_ms) + FORWARD_GRACE;
+    state.metrics.forwarded();
+    let outcome = client::call(state, &peer, "/peer/once", &call, limit).await;
+    outcome.map_err(|error| match error.kind() {
+        Kind::UpstreamFailed => Error::new(Kind::OutcomeUnknown, error.message()),
+        _ => error,
+    })
+}
+
+async fn run_here(
+    state: &Arc<State>,
+    call: Call,
+    key: &str,
+    book: &dyn Book,
+) -> Result<Reply, Error> {
+    let key = scoped(&call, key);
+    let nonce = unguessable();
+    let deadline = state.clock.now() + Duration::from_millis(call.deadline_ms);
+    let mut step = book.begin(&key, nonce, state.clock.unix_ms());
+    loop {
+        match step {
+            Step::Answer { outcome } => {
+                state.metrics.claim("replayed");
+                return Ok(reply(outcome));
+            }
+            Step::Append { .. } | Step::Wait => {
+                if state.clock.now() >= deadline {
+                    book.unsent(&key, nonce, state.clock.unix_ms());
+                    state.metrics.claim("lost");
+                    let message = "the claim of the key was not decided before the deadline";
+                    return Err(Error::new(Kind::DeadlineRefused, message));
+                }
+                book.changed(POLL).await;
+            }
+            Step::Dispatch => {
+                state.metrics.claim("won");
+                return dispatch(state, call, &key, nonce, book).await;
+            }
+            Step::Refuse { kind } => return Err(refused(state, kind)),
+        }
+        step = book.poll(&key, nonce, state.clock.unix_ms());
+    }
+}
+
+async fn dispatch(
+    state: &Arc<State>,
+    call: Call,
+    key: &str,
+    nonce: u64,
+    book: &dyn Book,
+) -> Result<Reply, Error> {
+    let request = call.request;
+    let settings = state.claims.settings;
+    let sent = Mutex::new(None);
+    let check = || {
+        let now = state.clock.unix_ms();
+        let mut sent = lock(&sent);
+        match *sent {
+            None => match book.dispatch(key, nonce, now) {
+                Step::Dispatch => {
+                    *sent = Some(now);
+                    Ok(())
+                }
+                Step::Refuse { kind } => Err(refused(state, kind)),
+                Step::Answer { .. } | Step::Append { .. } | Step::Wait => {
+                    let message = "the claim of the key is not in force";
+                    Err(Error::new(Kind::Unavailable, message))
+                }
+            },
+            // The attempt before is proven not to have been run; the claim still has to be valid.
+            Some(first) if now < first + settings.validity_ms => Ok(()),
+            Some(_) => Err(Error::new(
+                Kind::Unavailable,
+                "the claim of the key expired before a target took the call",
+            )),
+        }
+    };
+    let outcome = calls::dispatch(state, call, check).await;
+    let now = state.clock.unix_ms();
+    match &outcome {
+        Ok(reply) => {
+            let outcome = Outcome {
+                body: reply.body.clone(),
+                status: reply.status,
+            };
+            book.finish(key, nonce, Some(outcome), now);
+        }
+        Err(error) if error.kind().executed() == Executed::No => book.unsent(key, nonce, now),
+        Err(_) => book.finish(key, nonce, None, now),
+    }
+    event!(
+        state.source,
+        "call_settled",
+        request = hex(request),
+        outcome = outcome
+            .as_ref()
+            .err()
+            .map_or("ok", |error| error.kind().name())
+    );
+    outcome
+}
+
+fn refused(state: &State, kind: Kind) -> Error {
+    let (outcome, message) = match kind {
+        Kind::KeyExpired => ("expired", "the key is expired"),
+        Kind::OutcomeUnknown => (
+            "unknown",
+            "an earlier call with the key may have run; its outcome is not known",
+        ),
+        Kind::Unavailable => ("refused", "the key cannot be claimed now"),
+        _ => ("refused", "the key cannot be used"),
+    };
+    state.metrics.claim(outcome);
+    Error::new(kind, message)
+}
+
+fn reply(outcome: Outcome) -> Reply {
+    Reply {
+        body: outcome.body,
+        status: outcome.status,
+    }
+}
+
+/// Waits up to `limit` for a message on `changed`.
+async fn wait(changed: &async_channel::Receiver<()>, limit: Duration) {
+    futures_lite::future::or(
+        async {
+            let _ = changed.recv().await;
+        },
+        async {
+            Timer::after(limit).await;
+        },
+    )
+    .await;
+}
--- /dev/null
+++ b/src/daemon/peer.rs
@@ -0,0 +1,162 @@
+//! The peers' side: work that other instances forward and what they ask about this one.
+
+use std::sync::Arc;
+
+use jujubehook_http::http_types::{Method, Request, Response};
+use jujubehook_http::{json, pipe, read, text, Peer};
+use serde::de::DeserializeOwned;
+use serde::Serialize;
+use subtle::ConstantTimeEq;
+
+use super::client::{KEY_HEADER, TIME_HEADER};
+use super::frames::Frames;
+use super::state::State;
+use super::{once, serve, status, task};
+use crate::error::{Error, Kind};
+use crate::id::AttemptId;
+use crate::wire::{self, Answer, Body, Call, Failure, Frame, Hold, Run, Segment};
+
+/// Bytes that a peer's message may have above the largest body of a caller.
+const MESSAGE_OVERHEAD: usize = 1 << 20;
+
+/// Answers one request of a peer.
+pub(super) async fn answer(state: Arc<State>, mut request: Request, peer: Peer) -> Response {
+    if !is_peer(&state, &request) {
+        return super::api::failed(&Error::new(Kind::Unauthorized, "wrong peer key"));
+    }
+    if let Some(time) = request
+        .header(TIME_HEADER)
+        .and_then(|values| values.last().as_str().parse().ok())
+    {
+        state.clock.merge(time);
+    }
+    let path = request.url().path().to_owned();
+    if request.method() == Method::Get {
+        return match path.as_str() {
+            "/peer/status" => json(200, &status::status(&state)),
+            _ => text(404, "no such path\n"),
+        };
+    }
+    let limit = state.settings.limits.body + MESSAGE_OVERHEAD;
+    let bytes = match read(request.take_body(), limit).await {
+        Ok(bytes) => bytes,
+        Err(error) => return text(413, error.to_string()),
+    };
+    let mut response = route(&state, &path, &bytes, &peer).await;
+    response.insert_header(TIME_HEADER, state.clock.tick().to_string());
+    response
+}
+
+async fn route(state: &Arc<State>, path: &str, bytes: &[u8], peer: &Peer) -> Response {
+    match path {
+        "/peer/acquire" => {
+            reply(bytes, |message| async move {
+                Ok(task::beat::acquire(state, &message))
+            })
+            .await
+        }
+        "/peer/call" => reply(bytes, |call: Call| serve::call(state, call)).await,
+        "/peer/claims" => {
+            reply(bytes, |handles: Vec<AttemptId>| async move {
+                Ok(claims(state, handles))
+            })
+            .await
+        }
+        "/peer/fold" => reply(bytes, |(): ()| async move { Ok(state.fold().snapshot()) }).await,
+        "/peer/hold" => reply(bytes, |hold: Hold| serve::hold(state, hold)).await,
+        "/peer/once" => reply(bytes, |call: Call| once::run(state, call)).await,
+        "/peer/prefill" => {
+            let work = reply(bytes, |segment: Segment| serve::segment(state, segment));
+            match peer.race(work).await {
+                Ok(response) => response,
+                Err(error) => text(499, error.to_string()),
+            }
+        }
+        "/peer/run" => match wire::decode(bytes) {
+            Ok(run) => stream(state, run, peer),
+            Err(error) => text(400, error.to_string()),
+        },
+        _ => text(404, "no such path\n"),
+    }
+}
+
+/// Decodes a message, handles it and encodes the answer.
+async fn reply<M, T, F>(bytes: &[u8], handle: impl FnOnce(M) -> F) -> Response
+where
+    M: DeserializeOwned,
+    T: Serialize,
+    F: std::future::Future<Output = Result<T, Error>>,
+{
+    let answer: Answer<T> = match wire::decode(bytes) {
+        Ok(message) => handle(message).await.map_err(|error| Failure::from(&error)),
+        Err(error) => Err(Failure::from(&error)),
+    };
+    let mut response = Response::new(200);
+    response.set_body(wire::encode(&answer));
+    response
+}
+
+/// Streams the frames of an attempt, which is cancelled when the peer leaves.
+fn stream(state: &Arc<State>, run: Run, peer: &Peer) -> Response {
+    let (writer, body) = pipe();
+    let (state, peer) = (state.clone(), peer.clone());
+    smol::spawn(async move {
+        let work = async {
+            let attempt = run.attempt;
+            let mut sequence = 0;
+            let mut send = async |body: Body| {
+                let frame = Frame {
+                    attempt,
+                    body,
+                    sequence,
+                    time: state.clock.tick(),
+                };
+                sequence += 1;
+                writer.send(wire::pack(&frame)).await
+            };
+            let mut frames = match Frames::open(&state, run).await {
+                Ok(frames) => frames,
+                Err(error) => return send(fail(&error)).await,
+            };
+            loop {
+                let body = frames
+                    .next(&state)
+                    .await
+                    .unwrap_or_else(|error| fail(&error));
+                let last = matches!(body, Body::End { .. } | Body::Fail { .. });
+                send(body).await?;
+                if last {
+                    return Ok(());
+                }
+            }
+        };
+        let _ = peer.race(work).await;
+    })
+    .detach();
+    let mut response = Response::new(200);
+    response.set_body(body);
+    response
+}
+
+fn fail(error: &Error) -> Body {
+    Body::Fail {
+        failure: error.into(),
+        load: None,
+    }
+}
+
+/// The handles out of `handles` that this instance uses.
+fn claims(state: &State, handles: Vec<AttemptId>) -> Vec<AttemptId> {
+    let slots = state.slots();
+    handles
+        .into_iter()
+        .filter(|handle| slots.iter().any(|slot| slot.claims(*handle)))
+        .collect()
+}
+
+fn is_peer(state: &State, request: &Request) -> bool {
+    let expected = state.settings.peer_key.as_bytes();
+    request
+        .header(KEY_HEADER)
+        .is_some_and(|values| values.last().as_str().as_bytes().ct_eq(expected).into())
+}
--- /dev/null
+++ b/src/daemon/serve/call.rs
@@ -0,0 +1,133 @@
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use jujubehook_http::http_types::{mime, Method};
+use jujubehook_http::{read, within, Client, Connection};
+
+use super::engine::unreachable;
+use super::ticket::Ticket;
+use crate::daemon::client;
+use crate::daemon::state::{lock, State};
+use crate::error::{Error, Kind};
+use crate::event;
+use crate::event::hex;
+use crate::id::tokens;
+use crate::target::Item;
+use crate::wire::{Call, Reply};
+
+/// Longest wait for a service to accept a connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Time that other hops need on top of the deadline to report it themselves.
+const FORWARD_GRACE: Duration = Duration::from_millis(300);
+
+const KEY_HEADER: &str = "idempotency-key";
+
+/// Calls a plain service, here or through the target's owner.
+///
+/// An error whose kind says `executed = no` proves that no byte reached the service.
+pub(crate) async fn call(state: &Arc<State>, mut call: Call) -> Result<Reply, Error> {
+    let Some(target) = call.target.clone() else {
+        return Err(Error::new(Kind::BadRequest, "the call names no target"));
+    };
+    let Some(peer) = state.route(&target, call.hops)? else {
+        return local(state, &target, &call).await;
+    };
+    call.hops += 1;
+    let limit = Duration::from_millis(call.deadline_ms) + FORWARD_GRACE;
+    state.metrics.forwarded();
+    client::call(state, &peer, "/peer/call", &call, limit)
+        .await
+        .map_err(|error| lost(&call, error))
+}
+
+async fn local(state: &Arc<State>, target: &String, call: &Call) -> Result<Reply, Error> {
+    if !state.in_service(target) {
+        let message = format!("`{target}` takes no new work");
+        return Err(Error::new(Kind::Moved, message));
+    }
+    let deadline = state.clock.now() + Duration::from_millis(call.deadline_ms);
+    let slot = state.slot(target);
+    let ticket = Ticket::new(state, &slot, item(call, deadline))?;
+    ticket.turn().await?;
+    let address = state.address(target)?;
+    let connection = match within(CONNECT_TIMEOUT, Connection::open(address)).await {
+        Ok(connection) => connection,
+        Err(error) => {
+            unreachable(state, target);
+            let message = format!("cannot reach `{target}`: {error}");
+            return Err(Error::new(Kind::Unavailable, message));
+        }
+    };
+    // The process may have been paused since the queue gave the turn.
+    if !state.may_dispatch(target) {
+        let message = format!("`{target}` takes no new work here");
+        return Err(Error::new(Kind::Moved, message));
+    }
+    event!(
+        state.source,
+        "dispatch_call",
+        request = hex(call.request),
+        attempt = hex(call.attempt),
+        target = target.as_str(),
+        workspace = call.workspace.as_str(),
+        call = call.name.as_str()
+    );
+    let left = deadline.saturating_sub(state.clock.now());
+    let outcome = send(state, address, connection, call, left).await;
+    let now = state.clock.now();
+    lock(&state.outlier).record(target, outcome.is_ok(), now);
+    ticket.finish(outcome.is_ok());
+    outcome.map_err(|error| {
+        let message = format!("lost the answer of `{target}`: {error}");
+        lost(call, Error::new(Kind::UpstreamFailed, message))
+    })
+}
+
+async fn send(
+    state: &State,
+    address: SocketAddr,
+    connection: Connection,
+    call: &Call,
+    limit: Duration,
+) -> Result<Reply, jujubehook_http::Error> {
+    let mut request = Client::request(Method::Post, address, &format!("/call/{}", call.name))?;
+    if let Some(key) = &call.key {
+        request.insert_header(KEY_HEADER, key.as_str());
+    }
+    request.set_body(call.body.as_str());
+    request.set_content_type(mime::JSON);
+    let work = async {
+        let mut response = connection.send(request).await?;
+        let bytes = read(response.take_body(), state.settings.limits.body).await?;
+        let body = String::from_utf8(bytes)
+            .map_err(|error| jujubehook_http::Error::Exchange(error.to_string()))?;
+        Ok(Reply {
+            body,
+            status: response.status().into(),
+        })
+    };
+    within(limit, work).await
+}
+
+/// After the call was sent, a call that may not be repeated has an unknown outcome.
+fn lost(call: &Call, error: Error) -> Error {
+    if call.key.is_some() && error.kind() == Kind::UpstreamFailed {
+        return Error::new(Kind::OutcomeUnknown, error.message());
+    }
+    error
+}
+
+fn item(call: &Call, deadline: Duration) -> Item {
+    Item {
+        deadline,
+        held: false,
+        max_tokens: 0,
+        prefix: Vec::new(),
+        prompt: tokens(call.body.len()),
+        request: call.attempt,
+        weight: 1,
+        workspace: call.workspace.clone(),
+    }
+}
--- /dev/null
+++ b/src/daemon/serve/run.rs
@@ -0,0 +1,150 @@
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures_lite::future;
+use smol::Timer;
+
+use super::handle::Handle;
+use super::output::Output;
+use super::ticket::Ticket;
+use super::{engine, Slot};
+use crate::daemon::state::{lock, State};
+use crate::error::{Error, Kind};
+use crate::event;
+use crate::event::hex;
+use crate::id::{tokens, TOKEN_BYTES};
+use crate::platform::Completion;
+use crate::target::{Dispatch, Item};
+use crate::wire::{Body, Run};
+
+/// Runs a completion on an owned target and sends its frames, the last one being `End` or `Fail`.
+pub(crate) async fn run(state: &Arc<State>, run: Run, mut output: Output) {
+    let slot = state.slot(&run.target);
+    let work = attempt(state, &slot, &run, &mut output);
+    let limit = Duration::from_millis(run.deadline_ms);
+    // The watchdog does not depend on the engine: a frozen engine cannot hold a request past its deadline.
+    let outcome = future::or(work, async {
+        Timer::after(limit).await;
+        Err(Error::new(
+            Kind::DeadlineExceeded,
+            "the deadline passed while the request ran",
+        ))
+    })
+    .await;
+    if let Err(error) = outcome {
+        event!(
+            state.source,
+            "attempt_failed",
+            request = hex(run.request),
+            attempt = hex(run.attempt),
+            target = run.target.as_str(),
+            kind = error.kind().name(),
+            reason = error.message()
+        );
+        let load = slot.load(state.clock.now());
+        output.fail(&error, Some(load)).await;
+    }
+}
+
+async fn attempt(
+    state: &Arc<State>,
+    slot: &Arc<Slot>,
+    run: &Run,
+    output: &mut Output,
+) -> Result<(), Error> {
+    if !state.in_service(&run.target) {
+        let message = format!("`{}` takes no new work", run.target);
+        return Err(Error::new(Kind::Moved, message));
+    }
+    let ticket = Ticket::new(state, slot, item(state, run))?;
+    let mut handle = None;
+    loop {
+        let dispatch = ticket.turn().await?;
+        let address = state.address(&run.target)?;
+        if !dispatch.last && handle.is_none() {
+            handle = Some(Handle::new(state, address, run.attempt));
+        }
+        let completion = completion(run, &dispatch, handle.is_some());
+        event!(
+            state.source,
+            "dispatch",
+            request = hex(run.request),
+            attempt = hex(run.attempt),
+            target = run.target.as_str(),
+            workspace = run.workspace.as_str(),
+            from = dispatch.from,
+            to = dispatch.to
+        );
+        let stream = engine::send(state, &ticket, &run.target, address, &completion).await?;
+        if !dispatch.last {
+            engine::prefill(&run.target, run.attempt, stream).await?;
+            ticket.chunk_done();
+            continue;
+        }
+        let load = slot.load(state.clock.now());
+        output.send(Body::Start { load }).await?;
+        let end = engine::relay(state, address, run, &ticket, stream, output).await?;
+        ticket.finish(true);
+        lock(&state.outlier).record(&run.target, true, state.clock.now());
+        let load = slot.load(state.clock.now());
+        let body = Body::End {
+            cached: end.cached,
+            count: end.count,
+            load,
+            target: run.target.clone(),
+        };
+        return output.send(body).await;
+    }
+}
+
+fn completion(run: &Run, dispatch: &Dispatch, chunked: bool) -> Completion {
+    let mut context: Vec<String> = run.context.iter().map(|id| format!("{id:016x}")).collect();
+    if chunked && dispatch.from > 0 {
+        context.push(format!("{:016x}", run.attempt));
+    }
+    Completion {
+        adapter: run.adapter.clone(),
+        attempt: format!("{:016x}", run.attempt),
+        context,
+        handle: chunked.then(|| format!("{:016x}", run.attempt)),
+        max_tokens: if dispatch.last { run.max_tokens } else { 0 },
+        model: run.model.clone(),
+        priority: dispatch.priority,
+        prompt: piece(&run.prompt, dispatch).to_owned(),
+        stream: true,
+    }
+}
+
+/// The text of a piece of the prompt.
+pub(super) fn piece<'a>(text: &'a str, dispatch: &Dispatch) -> &'a str {
+    let start = boundary(text, dispatch.from as usize * TOKEN_BYTES);
+    let end = if dispatch.last {
+        text.len()
+    } else {
+        boundary(text, dispatch.to as usize * TOKEN_BYTES)
+    };
+    &text[start..end]
+}
+
+/// The last character boundary at or before `position`.
+pub(crate) fn boundary(text: &str, position: usize) -> usize {
+    let mut position = position.min(text.len());
+    while !text.is_char_boundary(position) {
+        position -= 1;
+    }
+    position
+}
+
+fn item(state: &State, run: &Run) -> Item {
+    Item {
+        deadline: state.clock.now() + Duration::from_millis(run.deadline_ms),
+        // The last part of a gang decodes within its reservation.
+        held: !run.context.is_empty(),
+        max_tokens: run.max_tokens,
+        prefix: run.prefix.clone(),
+        prompt: tokens(run.prompt.len()),
+        request: run.attempt,
+        weight: run.weight,
+        workspace: run.workspace.clone(),
+    }
+}
--- /dev/null
+++ b/src/daemon/serve/segment.rs
@@ -0,0 +1,118 @@
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures_lite::future;
+use smol::Timer;
+
+use super::engine;
+use super::ticket::Ticket;
+use crate::daemon::client;
+use crate::daemon::state::{unguessable, State};
+use crate::error::{Error, Kind};
+use crate::event;
+use crate::event::hex;
+use crate::id::tokens;
+use crate::platform::{Completion, Engine};
+use crate::target::Item;
+use crate::wire::Segment;
+
+/// Time that other hops need on top of the deadline to report it themselves.
+const FORWARD_GRACE: Duration = Duration::from_millis(300);
+
+/// Prefills a piece of a long prompt into the handle of its part, here or at the target's owner, and returns the
+/// exported handle.
+pub(crate) async fn segment(state: &Arc<State>, mut segment: Segment) -> Result<String, Error> {
+    let limit = Duration::from_millis(segment.deadline_ms);
+    let Some(peer) = state.route(&segment.target, segment.hops)? else {
+        return future::or(local(state, &segment), async {
+            Timer::after(limit).await;
+            let message = "the deadline passed during the prefill";
+            Err(Error::new(Kind::DeadlineExceeded, message))
+        })
+        .await;
+    };
+    segment.hops += 1;
+    let limit = limit + FORWARD_GRACE;
+    client::call(state, &peer, "/peer/prefill", &segment, limit).await
+}
+
+async fn local(state: &Arc<State>, segment: &Segment) -> Result<String, Error> {
+    let target = &segment.target;
+    let slot = state.slot(target);
+    if !slot.claims(segment.part) {
+        let message = format!("`{target}` holds no memory for the part");
+        return Err(Error::new(Kind::Moved, message));
+    }
+    let address = state.address(target)?;
+    let engine = Engine::new(&state.client, address);
+    for ticket in &segment.imports {
+        engine.import(ticket).await.map_err(|error| {
+            let message = format!("`{target}` did not import a handle: {error}");
+            Error::new(Kind::UpstreamFailed, message)
+        })?;
+    }
+    let attempt = unguessable();
+    let ticket = Ticket::new(state, &slot, item(state, segment, attempt))?;
+    loop {
+        // The piece may go out in several chunks; each extends the handle.
+        let dispatch = ticket.turn().await?;
+        let completion = completion(segment, attempt, &dispatch);
+        event!(
+            state.source,
+            "dispatch_part",
+            part = hex(segment.part),
+            attempt = hex(attempt),
+            target = target.as_str(),
+            workspace = segment.workspace.as_str(),
+            from = dispatch.from,
+            to = dispatch.to
+        );
+        let stream = engine::send(state, &ticket, target, address, &completion).await?;
+        engine::prefill(target, attempt, stream).await?;
+        if dispatch.last {
+            break;
+        }
+        ticket.chunk_done();
+    }
+    ticket.first_token();
+    ticket.finish(true);
+    engine.export(segment.part).await.map_err(|error| {
+        let message = format!("`{target}` did not export a handle: {error}");
+        Error::new(Kind::UpstreamFailed, message)
+    })
+}
+
+fn completion(segment: &Segment, attempt: u64, dispatch: &crate::target::Dispatch) -> Completion {
+    let part = format!("{:016x}", segment.part);
+    let mut context: Vec<String> = segment
+        .context
+        .iter()
+        .map(|handle| format!("{handle:016x}"))
+        .collect();
+    if segment.extend || dispatch.from > 0 {
+        context.push(part.clone());
+    }
+    Completion {
+        attempt: format!("{attempt:016x}"),
+        context,
+        handle: Some(part),
+        model: segment.model.clone(),
+        priority: dispatch.priority,
+        prompt: super::run::piece(&segment.text, dispatch).to_owned(),
+        stream: true,
+        ..Completion::default()
+    }
+}
+
+fn item(state: &State, segment: &Segment, attempt: u64) -> Item {
+    Item {
+        deadline: state.clock.now() + Duration::from_millis(segment.deadline_ms),
+        held: true,
+        max_tokens: 0,
+        prefix: Vec::new(),
+        prompt: tokens(segment.text.len()),
+        request: attempt,
+        weight: 1,
+        workspace: segment.workspace.clone(),
+    }
+}
--- /dev/null
+++ b/src/daemon/task/beat.rs
@@ -0,0 +1,157 @@
+use std::sync::Arc;
+use std::time::Duration;
+
+use smol::net::UdpSocket;
+use smol::Timer;
+
+use super::tag;
+use crate::daemon::client;
+use crate::daemon::state::{lock, State};
+use crate::event;
+use crate::owner::{Acquire, Action, Beat, Grant};
+
+/// Time between two ticks of the ownership table.
+const TICK: Duration = Duration::from_millis(100);
+
+/// Longest accepted datagram in bytes; a heartbeat has about 100.
+const DATAGRAM_LIMIT: usize = 1024;
+
+/// Longest wait for a peer's answer about grants.
+const ACQUIRE_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Pause after a failed receive, which otherwise would spin.
+const RECEIVE_PAUSE: Duration = Duration::from_millis(50);
+
+/// Sends heartbeats to all instances of the own domain.
+pub(crate) async fn send(state: Arc<State>, socket: UdpSocket) {
+    loop {
+        for peer in state.peers() {
+            let beat = {
+                let now = state.clock.now();
+                let mut owner = lock(&state.owner);
+                owner.set_offset(state.fold().offset());
+                Beat {
+                    time: state.clock.tick(),
+                    ..owner.beat(&peer.id, now)
+                }
+            };
+            // Fields go by position, since names would make the datagram three times as long.
+            let bytes = rmp_serde::to_vec(&beat).unwrap_or_default();
+            let datagram = tag::seal(state.settings.peer_key.as_bytes(), bytes);
+            state.metrics.control_sent(datagram.len());
+            let _ = socket.send_to(&datagram, peer.address).await;
+        }
+        Timer::after(state.settings.network.heartbeat).await;
+    }
+}
+
+/// Receives heartbeats.
+pub(crate) async fn receive(state: Arc<State>, socket: UdpSocket) {
+    let mut buffer = [0; DATAGRAM_LIMIT];
+    loop {
+        let Ok((length, _)) = socket.recv_from(&mut buffer).await else {
+            Timer::after(RECEIVE_PAUSE).await;
+            continue;
+        };
+        let key = state.settings.peer_key.as_bytes();
+        let Some(message) = tag::open(key, &buffer[..length]) else {
+            continue;
+        };
+        let Ok(beat) = rmp_serde::from_slice::<Beat>(message) else {
+            continue;
+        };
+        state.clock.merge(beat.time);
+        let now = state.clock.now();
+        let actions = lock(&state.owner).hear(&beat, now);
+        act(&state, actions);
+    }
+}
+
+/// Lets time pass in the ownership table.
+pub(crate) async fn tick(state: Arc<State>) {
+    loop {
+        let now = state.clock.now();
+        let actions = lock(&state.owner).tick(now);
+        act(&state, actions);
+        Timer::after(TICK).await;
+    }
+}
+
+/// Answers a peer that asks for grants.
+pub(crate) fn acquire(state: &Arc<State>, message: &Acquire) -> Grant {
+    let now = state.clock.now();
+    let in_flight = |target: &String| {
+        state
+            .existing(target)
+            .map_or(0, |slot| slot.load(now).running)
+    };
+    let (grant, actions) = lock(&state.owner).acquire(message, in_flight, now);
+    act(state, actions);
+    grant
+}
+
+/// Does what the ownership table asks for.
+pub(crate) fn act(state: &Arc<State>, actions: Vec<Action>) {
+    for action in actions {
+        match action {
+            Action::Acquire { message, to } => ask(state, message, to),
+            Action::Gained {
+                in_flight,
+                planned,
+                target,
+            } => gained(state, &target, planned, in_flight),
+            Action::Lost { target } => lost(state, &target),
+        }
+    }
+}
+
+fn ask(state: &Arc<State>, message: Acquire, to: String) {
+    let state = state.clone();
+    smol::spawn(async move {
+        let Some(peer) = state.listing().member(&to).cloned() else {
+            return;
+        };
+        let call = client::call::<Grant>(&state, &peer, "/peer/acquire", &message, ACQUIRE_TIMEOUT);
+        if let Ok(grant) = call.await {
+            let now = state.clock.now();
+            let actions = lock(&state.owner).grant(&grant, now);
+            act(&state, actions);
+        }
+    })
+    .detach();
+}
+
+fn gained(state: &Arc<State>, target: &String, planned: bool, in_flight: u32) {
+    event!(
+        state.source,
+        "target_gained",
+        target = target.as_str(),
+        planned = planned,
+        in_flight = in_flight
+    );
+    let slot = state.slot(target);
+    slot.update(state, |scheduler, now| {
+        scheduler.chill(now);
+        scheduler.foreign(in_flight, 0, now);
+    });
+    // The reading of the target's streams opens the queue; until then a cold target gets nothing.
+    let state = state.clone();
+    let target = target.clone();
+    smol::spawn(async move { super::reap::check(&state, &target).await }).detach();
+}
+
+fn lost(state: &Arc<State>, target: &String) {
+    let moved = match state.existing(target) {
+        Some(slot) => {
+            slot.set_checked(false);
+            slot.drain(state)
+        }
+        None => 0,
+    };
+    event!(
+        state.source,
+        "target_lost",
+        target = target.as_str(),
+        moved = moved
+    );
+}
--- /dev/null
+++ b/src/daemon/task/reap.rs
@@ -0,0 +1,138 @@
+use std::sync::Arc;
+use std::time::Duration;
+
+use smol::Timer;
+
+use crate::daemon::client;
+use crate::daemon::serve::Slot;
+use crate::daemon::state::{lock, State};
+use crate::event;
+use crate::event::hex;
+use crate::id::{AttemptId, TargetId};
+use crate::platform::{Engine, Role, Streams};
+
+/// Longest wait for a peer's answer about handles.
+const CLAIMS_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Pause before an unanswered first reading of a target is repeated.
+const CHECK_PAUSE: Duration = Duration::from_millis(200);
+
+/// Reads streams and handles of owned targets and releases what nobody claims.
+pub(crate) async fn run(state: Arc<State>) {
+    loop {
+        Timer::after(state.settings.network.reap).await;
+        for target in owned(&state) {
+            let state = state.clone();
+            smol::spawn(async move { read(&state, &target).await.is_some() }).detach();
+        }
+    }
+}
+
+/// Reads the streams of a target that was just gained, then opens its queue.
+pub(crate) async fn check(state: &Arc<State>, target: &TargetId) {
+    loop {
+        let slot = state.slot(target);
+        let read = match state.listing().member(target).map(|member| member.role) {
+            Some(Role::Engine) => read(state, target).await.is_some(),
+            Some(Role::Service) => true,
+            Some(Role::Entry) | None => return,
+        };
+        if read {
+            slot.set_checked(true);
+            slot.pump(state);
+            return;
+        }
+        let now = state.clock.now();
+        if !lock(&state.owner).may_dispatch(target, now) {
+            return;
+        }
+        Timer::after(CHECK_PAUSE).await;
+    }
+}
+
+async fn read(state: &Arc<State>, target: &TargetId) -> Option<()> {
+    let address = state.address(target).ok()?;
+    let engine = Engine::new(&state.client, address);
+    let streams = engine.streams().await.ok()?;
+    let slot = state.slot(target);
+    account(state, &slot, &streams);
+    let handles: Vec<AttemptId> = streams
+        .handles
+        .iter()
+        .filter_map(|handle| parse(&handle.handle))
+        .collect();
+    let orphans = slot.orphans(&handles);
+    if !orphans.is_empty() {
+        release(state, target, &engine, orphans).await;
+    }
+    Some(())
+}
+
+/// Counts streams that were not opened here as foreign load.
+fn account(state: &Arc<State>, slot: &Slot, streams: &Streams) {
+    let foreign = streams
+        .streams
+        .iter()
+        .filter(|stream| !parse(&stream.attempt).is_some_and(|attempt| slot.claims(attempt)));
+    let (mut count, mut memory) = (0, 0);
+    for stream in foreign {
+        count += 1;
+        memory += stream.tokens;
+    }
+    let held: u64 = streams
+        .handles
+        .iter()
+        .filter(|handle| !parse(&handle.handle).is_some_and(|handle| slot.claims(handle)))
+        .map(|handle| handle.tokens)
+        .sum();
+    slot.update(state, |scheduler, now| {
+        scheduler.boot(streams.boot, now);
+        scheduler.foreign(count, memory + held, now);
+    });
+}
+
+/// Releases the handles that no instance of the domain claims either.
+async fn release(
+    state: &Arc<State>,
+    target: &TargetId,
+    engine: &Engine<'_>,
+    mut orphans: Vec<AttemptId>,
+) {
+    let live = lock(&state.owner).live(state.clock.now());
+    let listing = state.listing();
+    for peer in live.iter().filter_map(|id| listing.member(id)) {
+        let call =
+            client::call::<Vec<AttemptId>>(state, peer, "/peer/claims", &orphans, CLAIMS_TIMEOUT);
+        match call.await {
+            Ok(claimed) => orphans.retain(|handle| !claimed.contains(handle)),
+            // A live peer that does not answer may still use any of them.
+            Err(_) => return,
+        }
+    }
+    for handle in orphans {
+        event!(
+            state.source,
+            "handle_reaped",
+            target = target.as_str(),
+            handle = hex(handle)
+        );
+        let _ = engine.forget(handle).await;
+    }
+}
+
+fn owned(state: &State) -> Vec<TargetId> {
+    let listing = state.listing();
+    let now = state.clock.now();
+    let owner = lock(&state.owner);
+    listing
+        .instances
+        .iter()
+        .filter(|member| member.role == Role::Engine)
+        .filter(|member| owner.may_dispatch(&member.id, now))
+        .map(|member| member.id.clone())
+        .collect()
+}
+
+fn parse(id: &str) -> Option<AttemptId> {
+    AttemptId::from_str_radix(id, 16).ok()
+}
--- /dev/null
+++ b/src/load/fleet.rs
@@ -0,0 +1,356 @@
+use std::io;
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::time::{Duration, Instant};
+
+use jujubehook_http::http_types::Method;
+use jujubehook_http::{Client, Reuse};
+use jujubehook_standin::{engine, list, log, service, Engine, List, Log, Service};
+use serde_json::{json, Value};
+use sha2::{Digest, Sha256};
+use smol::Timer;
+
+use crate::daemon::Daemon;
+use crate::id::{DomainId, InstanceId, ModelId, TargetId};
+use crate::platform;
+use crate::record;
+use crate::settings;
+
+/// Longest time until a new fleet serves.
+const READY_LIMIT: Duration = Duration::from_secs(30);
+
+/// Time between two looks at a new fleet.
+const READY_INTERVAL: Duration = Duration::from_millis(50);
+
+/// Largest accepted answer of a stand-in in bytes.
+const ANSWER_LIMIT: usize = 16 << 20;
+
+/// Name of the plain service of a fleet.
+pub(super) const SERVICE: &str = "seats";
+
+/// Call of the service that may not be repeated.
+pub(super) const ONCE: &str = "sell";
+
+const PEER_KEY: &str = "peer key of an embedded fleet";
+
+/// Size and speed of a fleet.
+#[derive(Clone, Debug)]
+pub struct Settings {
+    /// Failure domains.
+    pub domains: usize,
+    /// Settings of each engine; the model is set per engine.
+    pub engine: engine::Settings,
+    /// Engines in each domain.
+    pub engines: usize,
+    /// Instances in each domain.
+    pub instances: usize,
+    /// Model that all engines serve.
+    pub model: ModelId,
+    /// Times between instances.
+    pub network: settings::Network,
+    /// Routing policy of the instances.
+    pub policy: String,
+    /// Scheduling on targets.
+    pub queue: settings::Queue,
+    /// Settings of each plain service; one runs in each domain.
+    pub service: service::Settings,
+    /// Workspaces; each has the key `key-<number>`.
+    pub workspaces: usize,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            domains: 3,
+            engine: engine::Settings::default(),
+            engines: 8,
+            instances: 5,
+            model: "resin".into(),
+            network: settings::Network::default(),
+            policy: "affinity".into(),
+            queue: settings::Queue::default(),
+            service: service::Settings::default(),
+            workspaces: 10,
+        }
+    }
+}
+
+/// Stand-ins and daemons in one process, on loopback ports.
+pub struct Fleet {
+    client: Client,
+    daemons: Vec<(InstanceId, DomainId, Daemon)>,
+    engines: Vec<(TargetId, DomainId, Engine)>,
+    list: List,
+    log: Log,
+    services: Vec<(TargetId, DomainId, Service)>,
+    settings: Settings,
+}
+
+impl Fleet {
+    /// Starts a fleet and waits until every instance is ready and every target has an owner.
+    ///
+    /// # Errors
+    /// Fails if a port cannot be bound, a record is refused or the fleet is not ready in 30 s.
+    pub async fn start(settings: Settings) -> io::Result<Self> {
+        let list = List::start(loopback(), list::Settings::default()).await?;
+        let log = Log::start(loopback(), log::Settings::default()).await?;
+        let mut fleet = Self {
+            client: Client::default(),
+            daemons: Vec::new(),
+            engines: Vec::new(),
+            list,
+            log,
+            services: Vec::new(),
+            settings,
+        };
+        fleet.publish_workspaces().await?;
+        for domain in 0..fleet.settings.domains {
+            fleet.start_targets(&domain_name(domain)).await?;
+        }
+        for domain in 0..fleet.settings.domains {
+            for _ in 0..fleet.settings.instances {
+                fleet.start_daemon(&domain_name(domain)).await?;
+            }
+        }
+        fleet.wait_ready().await?;
+        Ok(fleet)
+    }
+
+    /// Publishes a record with the revision that is in force as its base.
+    ///
+    /// # Errors
+    /// Fails if the log does not take the entry.
+    pub async fn publish(&self, kind: record::Kind, name: &str, body: Value) -> io::Result<u64> {
+        let log = platform::Log::new(self.log.address(), platform::Settings::default());
+        let page = log
+            .read("config", 1, 100_000, Duration::ZERO)
+            .await
+            .map_err(other)?;
+        let mut fold = record::Fold::default();
+        for entry in &page.entries {
+            fold.apply(entry.offset, &entry.body).map_err(other)?;
+        }
+        let base = fold.revision(kind, name);
+        let entry = record::entry(kind, name, record::NEWEST_SCHEMA, base, &body);
+        log.append("config", &entry).await.map_err(other)
+    }
+
+    /// Sets fault switches of a stand-in.
+    ///
+    /// # Errors
+    /// Fails if the stand-in does not take them.
+    pub async fn fault(&self, address: SocketAddr, switches: &Value) -> io::Result<()> {
+        self.send(Method::Post, address, "/fault", switches)
+            .await
+            .map(|_| ())
+    }
+
+    /// What a stand-in says about itself.
+    ///
+    /// # Errors
+    /// Fails if the stand-in does not answer.
+    pub async fn stats(&self, address: SocketAddr) -> io::Result<Value> {
+        self.send(Method::Get, address, "/stats", &Value::Null)
+            .await
+    }
+
+    /// Addresses of the instances, in order of domain.
+    pub fn entries(&self) -> Vec<SocketAddr> {
+        self.daemons
+            .iter()
+            .map(|(.., daemon)| daemon.address())
+            .collect()
+    }
+
+    /// Names, domains and addresses of the engines.
+    pub fn engines(&self) -> Vec<(TargetId, DomainId, SocketAddr)> {
+        self.engines
+            .iter()
+            .map(|(id, domain, engine)| (id.clone(), domain.clone(), engine.address()))
+            .collect()
+    }
+
+    /// Names, domains and addresses of the plain services.
+    pub fn services(&self) -> Vec<(TargetId, DomainId, SocketAddr)> {
+        self.services
+            .iter()
+            .map(|(id, domain, service)| (id.clone(), domain.clone(), service.address()))
+            .collect()
+    }
+
+    /// Address of the instance list.
+    pub fn list(&self) -> SocketAddr {
+        self.list.address()
+    }
+
+    /// Address of the log.
+    pub fn log(&self) -> SocketAddr {
+        self.log.address()
+    }
+
+    /// Key that the instances share.
+    pub fn peer_key(&self) -> &'static str {
+        PEER_KEY
+    }
+
+    /// Settings of the fleet.
+    pub fn settings(&self) -> &Settings {
+        &self.settings
+    }
+
+    async fn publish_workspaces(&self) -> io::Result<()> {
+        for workspace in 0..self.settings.workspaces {
+            let key = workspace_key(workspace);
+            let body = json!({
+                "grants": [{"model": self.settings.model}],
+                "keys": [hex(&Sha256::digest(key.as_bytes()))],
+            });
+            self.publish(
+                record::Kind::Workspace,
+                &format!("workspace-{workspace}"),
+                body,
+            )
+            .await?;
+        }
+        let body = json!({"calls": [{"name": ONCE, "once": true}]});
+        self.publish(record::Kind::Service, SERVICE, body)
+            .await
+            .map(|_| ())
+    }
+
+    async fn start_targets(&mut self, domain: &str) -> io::Result<()> {
+        for index in 0..self.settings.engines {
+            let id = format!("engine-{domain}-{index}");
+            let settings = engine::Settings {
+                model: self.settings.model.clone(),
+                ..self.settings.engine.clone()
+            };
+            let engine = Engine::start(loopback(), settings).await?;
+            let member = json!({
+                "role": "engine", "address": engine.address(), "domain": domain,
+                "state": "live", "model": self.settings.model,
+            });
+            self.register(&id, &member).await?;
+            self.engines.push((id, domain.to_owned(), engine));
+        }
+        let id = format!("service-{domain}");
+        let service = Service::start(loopback(), self.settings.service.clone()).await?;
+        let member = json!({
+            "role": "service", "address": service.address(), "domain": domain,
+            "state": "live", "service": SERVICE,
+        });
+        self.register(&id, &member).await?;
+        self.services.push((id, domain.to_owned(), service));
+        Ok(())
+    }
+
+    async fn start_daemon(&mut self, domain: &str) -> io::Result<()> {
+        let instance = format!("entry-{domain}-{}", self.daemons.len());
+        let listen = free_port()?;
+        let daemon = Daemon::start(settings::Settings {
+            domain: domain.to_owned(),
+            instance: instance.clone(),
+            limits: settings::Limits::default(),
+            listen,
+            log: crate::event::Settings::default(),
+            network: settings::Network {
+                list: self.list.address(),
+                log: self.log.address(),
+                ..self.settings.network.clone()
+            },
+            peer_key: PEER_KEY.into(),
+            policy: self.settings.policy.clone(),
+            queue: self.settings.queue.clone(),
+        })
+        .await
+        .map_err(other)?;
+        let member = json!({
+            "role": "entry", "address": daemon.address(), "domain": domain, "state": "live",
+        });
+        self.register(&instance, &member).await?;
+        self.daemons.push((instance, domain.to_owned(), daemon));
+        Ok(())
+    }
+
+    async fn register(&self, id: &str, member: &Value) -> io::Result<()> {
+        let path = format!("/instances/{id}");
+        self.send(Method::Put, self.list.address(), &path, member)
+            .await
+            .map(|_| ())
+    }
+
+    async fn wait_ready(&self) -> io::Result<()> {
+        let end = Instant::now() + READY_LIMIT;
+        while !self.is_ready() {
+            if Instant::now() > end {
+                return Err(other("the fleet is not ready in time"));
+            }
+            Timer::after(READY_INTERVAL).await;
+        }
+        Ok(())
+    }
+
+    fn is_ready(&self) -> bool {
+        let owned: usize = self
+            .daemons
+            .iter()
+            .map(|(.., daemon)| daemon.owned_targets())
+            .sum();
+        let targets = self.engines.len() + self.services.len();
+        let owners = self.settings.policy == "affinity";
+        self.daemons.iter().all(|(.., daemon)| daemon.is_ready()) && (owned == targets || !owners)
+    }
+
+    async fn send(
+        &self,
+        method: Method,
+        address: SocketAddr,
+        path: &str,
+        body: &Value,
+    ) -> io::Result<Value> {
+        let mut request = Client::request(method, address, path).map_err(other)?;
+        if !body.is_null() {
+            request.set_body(body.to_string());
+        }
+        let call = self
+            .client
+            .fetch(address, request, Reuse::Never, ANSWER_LIMIT);
+        let (response, bytes) = call.await.map_err(other)?;
+        if response.status().is_success() {
+            return Ok(serde_json::from_slice(&bytes).unwrap_or_default());
+        }
+        Err(other(format!(
+            "`{path}` answered {}: {}",
+            response.status(),
+            String::from_utf8_lossy(&bytes)
+        )))
+    }
+}
+
+/// Key with which callers of a workspace of the fleet authenticate.
+pub(super) fn workspace_key(workspace: usize) -> String {
+    format!("key-{workspace}")
+}
+
+fn domain_name(index: usize) -> DomainId {
+    let names = ["north", "south", "west", "east"];
+    names
+        .get(index)
+        .map_or_else(|| format!("domain-{index}"), |name| (*name).to_owned())
+}
+
+fn free_port() -> io::Result<SocketAddr> {
+    // The daemon binds the same port for TCP and UDP; the listener only finds a free one.
+    TcpListener::bind(loopback())?.local_addr()
+}
+
+fn hex(bytes: &[u8]) -> String {
+    bytes.iter().map(|byte| format!("{byte:02x}")).collect()
+}
+
+fn loopback() -> SocketAddr {
+    (Ipv4Addr::LOCALHOST, 0).into()
+}
+
+fn other(error: impl Into<Box<dyn std::error::Error + Send + Sync>>) -> io::Error {
+    io::Error::other(error)
+}
--- a/src/owner/table.rs
+++ b/src/owner/table.rs
@@ -585,7 +585,7 @@
 }
 
 /// The instance of `view` with the highest rendezvous hash for `target`.
-fn candidate(target: &TargetId, view: &[InstanceId]) -> Option<InstanceId> {
+pub fn candidate(target: &TargetId, view: &[InstanceId]) -> Option<InstanceId> {
     let seed = xxh3_64_with_seed(target.as_bytes(), 0);
     view.iter()
         .max_by_key(|id| xxh3_64_with_seed(id.as_bytes(), seed))
--- /dev/null
+++ b/src/platform/engine.rs
@@ -0,0 +1,232 @@
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use jujubehook_http::http_types::{Method, Request, Response};
+use jujubehook_http::{within, Client, Connection, Error, Events, Reuse};
+use serde::{Deserialize, Serialize};
+
+use crate::id::{AttemptId, Tokens};
+
+/// Longest time for a short call to an engine.
+const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Largest accepted answer of a short call in bytes.
+const CALL_LIMIT: usize = 4 << 20;
+
+/// Header with the boot number on each reply.
+const BOOT_HEADER: &str = "x-boot";
+
+/// Client of one model engine.
+#[derive(Clone, Copy, Debug)]
+pub struct Engine<'a> {
+    address: SocketAddr,
+    client: &'a Client,
+}
+
+/// Body of a completion request to an engine.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct Completion {
+    /// Adapter to apply, if any.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub adapter: Option<String>,
+    /// Attempt id, echoed in each event; 16 hexadecimal digits.
+    pub attempt: String,
+    /// Handles that precede the prompt.
+    #[serde(skip_serializing_if = "Vec::is_empty")]
+    pub context: Vec<String>,
+    /// Handle under which the KV memory is kept.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    pub handle: Option<String>,
+    /// Tokens to generate; 0 only prefills.
+    pub max_tokens: Tokens,
+    /// Model to use.
+    pub model: String,
+    /// Higher goes first.
+    pub priority: i32,
+    /// Prompt text.
+    pub prompt: String,
+    /// Always true; the engine answers with server-sent events.
+    pub stream: bool,
+}
+
+/// One event of a completion stream.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq)]
+pub struct Event {
+    /// Attempt that the event belongs to.
+    pub attempt: String,
+    /// Prompt tokens found in the prefix cache; on the last event.
+    #[serde(default)]
+    pub cached: Tokens,
+    /// Tokens generated; on the last event.
+    pub count: Option<u64>,
+    /// Why the stream ended; on the last event.
+    pub finish: Option<String>,
+    /// Index of the token within the attempt.
+    #[serde(default)]
+    pub index: u64,
+    /// Text of the token.
+    #[serde(default)]
+    pub text: String,
+}
+
+/// Answer to the start of a stream.
+#[derive(Debug)]
+pub struct Stream {
+    /// Boot number of the engine.
+    pub boot: Option<u64>,
+    /// Events of the stream.
+    pub events: Events<Response>,
+    /// HTTP status.
+    pub status: u16,
+}
+
+/// What runs and what is held on an engine.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq)]
+pub struct Streams {
+    /// Boot number.
+    pub boot: u64,
+    /// Whether the engine is in a cold start.
+    pub cold: bool,
+    /// Kept handles.
+    pub handles: Vec<Handle>,
+    /// Running streams.
+    pub streams: Vec<Running>,
+}
+
+/// A kept handle.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq)]
+pub struct Handle {
+    /// Name of the handle, 16 hexadecimal digits.
+    pub handle: String,
+    /// Memory that it holds.
+    pub tokens: Tokens,
+}
+
+/// A running stream.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq)]
+pub struct Running {
+    /// Attempt of the stream, 16 hexadecimal digits.
+    pub attempt: String,
+    /// Memory that it holds.
+    pub tokens: Tokens,
+}
+
+impl<'a> Engine<'a> {
+    /// Makes a client of the engine at `address`.
+    pub fn new(client: &'a Client, address: SocketAddr) -> Self {
+        Self { address, client }
+    }
+
+    /// Cancels a stream.
+    ///
+    /// # Errors
+    /// Fails if the engine does not answer in time.
+    pub async fn cancel(&self, attempt: AttemptId) -> Result<(), Error> {
+        let path = format!("/v1/streams/{attempt:016x}");
+        self.call(Method::Delete, &path, None).await.map(|_| ())
+    }
+
+    /// Starts a completion over an open connection. The caller bounds the wait.
+    ///
+    /// # Errors
+    /// After any error the engine may have seen the request.
+    pub async fn complete(
+        &self,
+        connection: Connection,
+        completion: &Completion,
+    ) -> Result<Stream, Error> {
+        let mut request = self.request(Method::Post, "/v1/completions")?;
+        request.set_body(serde_json::to_vec(completion)?);
+        connection.send(request).await.map(stream)
+    }
+
+    /// Makes a ticket with which another engine can import a handle.
+    ///
+    /// # Errors
+    /// Fails if the engine does not answer in time or does not know the handle.
+    pub async fn export(&self, handle: AttemptId) -> Result<String, Error> {
+        let path = format!("/v1/kv/{handle:016x}/export");
+        let bytes = self.call(Method::Post, &path, None).await?;
+        String::from_utf8(bytes).map_err(|error| Error::Exchange(error.to_string()))
+    }
+
+    /// Drops a handle; an unknown one is dropped already.
+    ///
+    /// # Errors
+    /// Fails if the engine does not answer in time.
+    pub async fn forget(&self, handle: AttemptId) -> Result<(), Error> {
+        let request = self.request(Method::Delete, &format!("/v1/kv/{handle:016x}"))?;
+        let call = self
+            .client
+            .fetch(self.address, request, Reuse::Pooled, CALL_LIMIT);
+        within(CALL_TIMEOUT, call).await.map(|_| ())
+    }
+
+    /// Imports a ticket of another engine.
+    ///
+    /// # Errors
+    /// Fails if the engine does not answer in time or refuses the ticket.
+    pub async fn import(&self, ticket: &str) -> Result<(), Error> {
+        self.call(Method::Post, "/v1/kv/import", Some(ticket.to_owned()))
+            .await
+            .map(|_| ())
+    }
+
+    /// Continues a stream after a lost connection, from token `from` of the attempt.
+    ///
+    /// # Errors
+    /// Fails if the engine cannot be reached.
+    pub async fn resume(&self, attempt: AttemptId, from: u64) -> Result<Stream, Error> {
+        let path = format!("/v1/streams/{attempt:016x}?from={from}");
+        let request = self.request(Method::Get, &path)?;
+        let call = self.client.stream(self.address, request);
+        within(CALL_TIMEOUT, call).await.map(stream)
+    }
+
+    /// Reads what runs and what is held.
+    ///
+    /// # Errors
+    /// Fails if the engine does not answer in time.
+    pub async fn streams(&self) -> Result<Streams, Error> {
+        let bytes = self.call(Method::Get, "/v1/streams", None).await?;
+        Ok(serde_json::from_slice(&bytes)?)
+    }
+
+    async fn call(
+        &self,
+        method: Method,
+        path: &str,
+        body: Option<String>,
+    ) -> Result<Vec<u8>, Error> {
+        let mut request = self.request(method, path)?;
+        if let Some(body) = body {
+            request.set_body(body);
+        }
+        let call = self
+            .client
+            .fetch(self.address, request, Reuse::Pooled, CALL_LIMIT);
+        let (response, bytes) = within(CALL_TIMEOUT, call).await?;
+        if response.status().is_success() {
+            return Ok(bytes);
+        }
+        Err(Error::Exchange(format!(
+            "`{path}` answered with status {}",
+            response.status()
+        )))
+    }
+
+    fn request(&self, method: Method, path: &str) -> Result<Request, Error> {
+        Client::request(method, self.address, path)
+    }
+}
+
+fn stream(response: Response) -> Stream {
+    let boot = response
+        .header(BOOT_HEADER)
+        .and_then(|values| values.last().as_str().parse().ok());
+    Stream {
+        boot,
+        status: response.status().into(),
+        events: Events::new(response),
+    }
+}
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -1,6 +1,7 @@
 //! Clients of the log, the instance list, the engines and the services.
 
 mod call;
+mod engine;
 mod entry;
 mod error;
 mod list;
@@ -12,6 +13,13 @@
 mod settings;
 mod state;
 
+pub use engine::Completion;
+pub use engine::Engine;
+pub use engine::Event;
+pub use engine::Handle;
+pub use engine::Running;
+pub use engine::Stream;
+pub use engine::Streams;
 pub use entry::Entry;
 pub use error::Error;
 pub use list::List;
--- a/src/target/admission.rs
+++ b/src/target/admission.rs
@@ -1,7 +1,6 @@
 use std::time::Duration;
 
 use super::entry::Entry;
-use super::fit::capacity;
 use super::{Class, Item, Refusal, Scheduler, State};
 use crate::error::Kind;
 use crate::id::Tokens;
@@ -55,6 +54,7 @@
         let item = Item {
             // A typical deadline places the request in the queue; only the order depends on it.
             deadline: now + Duration::from_secs(10),
+            held: false,
             max_tokens: 1,
             prefix: Vec::new(),
             prompt: 1,
@@ -69,10 +69,7 @@
 
     /// Memory that a request of `class` may take when nothing else is there.
     pub(super) fn capacity(&self, class: Class) -> Tokens {
-        match class {
-            Class::Long | Class::Medium => capacity(self.memory, &self.settings),
-            Class::Short => self.memory,
-        }
+        self.settings.capacity(class, self.memory)
     }
 
     /// Predicted time at the engine: prefill of the rest and decode.
--- a/src/target/class.rs
+++ b/src/target/class.rs
@@ -30,6 +30,15 @@
         Class::Short
     }
 
+    /// Name in reports and metrics.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Class::Long => "long",
+            Class::Medium => "medium",
+            Class::Short => "short",
+        }
+    }
+
     /// Engine priority; a higher number is more urgent.
     pub const fn priority(self) -> i32 {
         match self {
--- a/src/target/item.rs
+++ b/src/target/item.rs
@@ -7,6 +7,8 @@
 pub struct Item {
     /// Latest finish, since process start.
     pub deadline: Duration,
+    /// Whether a hold already reserves the memory, as it does for a piece of a gang's part.
+    pub held: bool,
     /// Most tokens to generate.
     pub max_tokens: Tokens,
     /// Hashes of the leading blocks of the prompt, in order; each covers [`super::Settings::block`] tokens.
@@ -22,8 +24,11 @@
 }
 
 impl Item {
-    /// Memory that the request needs until it ends.
+    /// Memory that the request needs until it ends, on top of a hold.
     pub fn memory(&self) -> Tokens {
+        if self.held {
+            return 0;
+        }
         self.prompt.saturating_add(self.max_tokens)
     }
 }
--- a/src/target/settings.rs
+++ b/src/target/settings.rs
@@ -1,3 +1,5 @@
+use super::fit::capacity;
+use super::Class;
 use crate::id::Tokens;
 
 /// Limits, rates and switches of one target.
@@ -40,6 +42,14 @@
 }
 
 impl Settings {
+    /// Memory out of `memory` that a prompt of `class` may take on an empty target.
+    pub fn capacity(&self, class: Class, memory: Tokens) -> Tokens {
+        match class {
+            Class::Long | Class::Medium => capacity(memory, self),
+            Class::Short => memory,
+        }
+    }
+
     /// Turns all four mechanisms off: first in, first out.
     pub fn fifo(self) -> Settings {
         Settings {
--- a/src/target/state.rs
+++ b/src/target/state.rs
@@ -14,3 +14,16 @@
     /// Between the cold and the full limit.
     Warming,
 }
+
+impl State {
+    /// Name in status answers and metrics.
+    pub const fn name(self) -> &'static str {
+        match self {
+            State::Cold => "cold",
+            State::Gone => "gone",
+            State::Leaving => "leaving",
+            State::Warm => "warm",
+            State::Warming => "warming",
+        }
+    }
+}
--- /dev/null
+++ b/src/wire/codec.rs
@@ -0,0 +1,113 @@
+use futures_lite::{AsyncRead, AsyncReadExt};
+use serde::de::DeserializeOwned;
+use serde::Serialize;
+
+use super::{Body, Frame};
+use crate::error::{Error, Kind};
+use crate::id::AttemptId;
+
+/// Longest accepted frame in bytes.
+pub const FRAME_LIMIT: usize = 1 << 20;
+
+/// Bytes of the length before each frame.
+const LENGTH_BYTES: usize = 4;
+
+/// Encodes a message.
+pub fn encode(message: &impl Serialize) -> Vec<u8> {
+    // Named fields let an older instance skip what a newer one adds.
+    rmp_serde::to_vec_named(message).unwrap_or_default()
+}
+
+/// Decodes a message.
+///
+/// # Errors
+/// `BadRequest` if the bytes are no message of this shape.
+pub fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, Error> {
+    rmp_serde::from_slice(bytes)
+        .map_err(|error| Error::new(Kind::BadRequest, format!("malformed message: {error}")))
+}
+
+/// Encodes a frame behind its length.
+pub fn pack(frame: &Frame) -> Vec<u8> {
+    let body = encode(frame);
+    let mut bytes = Vec::with_capacity(LENGTH_BYTES + body.len());
+    bytes.extend_from_slice(&(body.len() as u32).to_be_bytes());
+    bytes.extend_from_slice(&body);
+    bytes
+}
+
+/// Reads the next frame; `None` at the end of the body.
+///
+/// # Errors
+/// `UpstreamFailed` if the body is cut off or holds no frame.
+pub async fn unpack(reader: &mut (impl AsyncRead + Unpin)) -> Result<Option<Frame>, Error> {
+    let mut length = [0; LENGTH_BYTES];
+    let first = reader.read(&mut length).await.map_err(cut)?;
+    if first == 0 {
+        return Ok(None);
+    }
+    reader.read_exact(&mut length[first..]).await.map_err(cut)?;
+    let length = u32::from_be_bytes(length) as usize;
+    if length > FRAME_LIMIT {
+        return Err(Error::new(
+            Kind::UpstreamFailed,
+            format!("frame of {length} bytes is too long"),
+        ));
+    }
+    let mut body = vec![0; length];
+    reader.read_exact(&mut body).await.map_err(cut)?;
+    rmp_serde::from_slice(&body)
+        .map(Some)
+        .map_err(|error| Error::new(Kind::UpstreamFailed, format!("malformed frame: {error}")))
+}
+
+fn cut(error: std::io::Error) -> Error {
+    Error::new(Kind::UpstreamFailed, format!("stream is cut off: {error}"))
+}
+
+/// Checks that frames belong to one attempt and come in order.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Check {
+    attempt: AttemptId,
+    index: u64,
+    sequence: u64,
+}
+
+impl Check {
+    /// Expects frames of `attempt` whose first token has index `start`.
+    pub fn new(attempt: AttemptId, start: u64) -> Self {
+        Self {
+            attempt,
+            index: start,
+            sequence: 0,
+        }
+    }
+
+    /// Accepts the next frame.
+    ///
+    /// # Errors
+    /// `UpstreamFailed` if the frame is of another attempt or out of order.
+    pub fn accept(&mut self, frame: &Frame) -> Result<(), Error> {
+        if frame.attempt != self.attempt {
+            return Err(self.reject("of another attempt"));
+        }
+        if frame.sequence != self.sequence {
+            return Err(self.reject("out of order"));
+        }
+        if let Body::Token { index, .. } = frame.body {
+            if index != self.index {
+                return Err(self.reject("with a gap in its tokens"));
+            }
+            self.index += 1;
+        }
+        self.sequence += 1;
+        Ok(())
+    }
+
+    fn reject(&self, what: &str) -> Error {
+        Error::new(
+            Kind::UpstreamFailed,
+            format!("frame {what} in attempt {:016x}", self.attempt),
+        )
+    }
+}
--- /dev/null
+++ b/src/wire/failure.rs
@@ -0,0 +1,39 @@
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use crate::error::{Error, Kind};
+
+/// Answer of one instance to another.
+pub type Answer<T> = Result<T, Failure>;
+
+/// An error on its way to the caller.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Failure {
+    /// Kind of the failure.
+    pub kind: Kind,
+    /// Message for the caller.
+    pub message: String,
+    /// Time after which a repeat has a chance, in milliseconds.
+    pub retry_after_ms: Option<u64>,
+}
+
+impl From<&Error> for Failure {
+    fn from(error: &Error) -> Self {
+        Self {
+            kind: error.kind(),
+            message: error.message().to_owned(),
+            retry_after_ms: error.wait().map(|wait| wait.as_millis() as u64),
+        }
+    }
+}
+
+impl From<Failure> for Error {
+    fn from(failure: Failure) -> Self {
+        let error = Error::new(failure.kind, failure.message);
+        match failure.retry_after_ms {
+            Some(after) => error.retry_after(Duration::from_millis(after)),
+            None => error,
+        }
+    }
+}
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -1,1 +1,27 @@
 //! Messages between instances and their codec.
+//!
+//! Bodies are MessagePack by `rmp-serde`. A streamed answer is a sequence of frames, each behind its length as four
+//! bytes, big endian.
+
+mod call;
+mod codec;
+mod failure;
+mod frame;
+mod hold;
+mod run;
+
+pub use call::Call;
+pub use call::Reply;
+pub use codec::decode;
+pub use codec::encode;
+pub use codec::pack;
+pub use codec::unpack;
+pub use codec::Check;
+pub use codec::FRAME_LIMIT;
+pub use failure::Answer;
+pub use failure::Failure;
+pub use frame::Body;
+pub use frame::Frame;
+pub use hold::Hold;
+pub use hold::Segment;
+pub use run::Run;
