Document the stand-ins and close gaps around crashes

Cause: a request between the crash of a stand-in and the cut of its connections could take effect in the next boot; the body field `resume` skipped tokens instead of numbering a continuation; long prompts were hashed on the executor thread; there was no page for users. No test covers the window between crash and cut.

--- a/standin/src/engine/cache.rs
+++ b/standin/src/engine/cache.rs
@@ -1,3 +1,5 @@
+//! Prefix cache.
+
 use std::cmp::Reverse;
 
 /// Tokens of one block.
--- a/standin/src/engine/chain.rs
+++ b/standin/src/engine/chain.rs
@@ -1,3 +1,5 @@
+//! Chained block hashes.
+
 use crate::text;
 
 /// Bytes of one block of the prefix cache: 256 tokens.
--- a/standin/src/engine/core.rs
+++ b/standin/src/engine/core.rs
@@ -1,3 +1,5 @@
+//! Requests to an engine.
+
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 
@@ -6,8 +8,9 @@
 use serde_json::json as value;
 
 use crate::ask::{done, refuse, unknown, Ask, Refusal};
+use crate::engine::admit::Opened;
 use crate::engine::chain::Chain;
-use crate::engine::state::{Opened, State};
+use crate::engine::state::State;
 use crate::engine::stream::Completion;
 use crate::engine::Settings;
 use crate::fault::Fault;
@@ -15,6 +18,9 @@
 use crate::host::Handler;
 use crate::signal::Signal;
 
+/// Longest prompt in bytes that is hashed on the executor thread.
+const INLINE_BYTES: usize = 64 << 10;
+
 /// Switches that only an engine has.
 const SWITCHES: [&str; 4] = ["cold", "cross", "event_gap", "late_reports_ms"];
 
@@ -48,17 +54,20 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    async fn complete(self: &Arc<Self>, ask: &Ask, peer: &Peer) -> Result<Response, Refusal> {
+    async fn complete(
+        self: &Arc<Self>,
+        ask: &Ask,
+        boot: u64,
+        peer: &Peer,
+    ) -> Result<Response, Refusal> {
         let completion: Completion = ask.parse()?;
         check_id(&completion.attempt)?;
         if let Some(handle) = &completion.handle {
             check_id(handle)?;
         }
         let (attempt, from) = (completion.attempt.clone(), completion.resume);
-        match self.open(completion)? {
+        match self.open(completion, boot).await? {
             Opened::Crashed => {
-                self.gate
-                    .cut(Duration::from_millis(self.settings.restart_ms));
                 peer.closed().await;
                 Err(refuse(503, "crashed"))
             }
@@ -88,25 +97,34 @@
         Ok(done())
     }
 
-    fn open(&self, completion: Completion) -> Result<Opened, Refusal> {
-        let base = self.lock().base(&completion.context);
-        let mut chain = Chain::new(base.unwrap_or_default());
-        chain.feed(completion.prompt.as_bytes());
-        let opened = self.lock().open(completion, chain)?;
+    /// Opens a stream for a request that came in boot `boot`.
+    async fn open(&self, completion: Completion, boot: u64) -> Result<Opened, Refusal> {
+        let base = self.lock().base(&completion.context).unwrap_or_default();
+        let (completion, chain) = hash(completion, base).await;
+        let mut state = self.lock();
+        if state.warmth.boot != boot {
+            return Ok(Opened::Crashed);
+        }
+        let opened = state.open(completion, chain)?;
+        if matches!(opened, Opened::Crashed) {
+            self.gate
+                .cut(Duration::from_millis(self.settings.restart_ms));
+        }
         self.arrivals.notify();
         Ok(opened)
     }
 
     async fn serve(self: &Arc<Self>, ask: &Ask, peer: &Peer) -> Response {
+        let boot = self.lock().warmth.boot;
         self.gate.thaw().await;
         let response = match (ask.method, ask.segments().as_slice()) {
-            (Method::Post, ["v1", "completions"]) => self.complete(ask, peer).await,
+            (Method::Post, ["v1", "completions"]) => self.complete(ask, boot, peer).await,
             (Method::Get, ["v1", "streams", attempt]) => ask
                 .number("from")
-                .and_then(|from| self.stream(attempt, from.unwrap_or(0) as usize, peer)),
+                .and_then(|from| self.stream(attempt, from.unwrap_or(0), peer)),
             (Method::Delete, ["v1", "streams", attempt]) => self.cancel(attempt),
             (Method::Get, ["v1", "streams"]) => Ok(self.streams()),
-            (Method::Post, ["v1", "kv", "import"]) => self.import(ask),
+            (Method::Post, ["v1", "kv", "import"]) => self.import(ask, boot),
             (Method::Post, ["v1", "kv", handle, "export"]) => self.export(handle),
             (Method::Delete, ["v1", "kv", handle]) => self.release(handle),
             (Method::Get, ["v1", "events"]) => self.events(ask),
@@ -131,7 +149,7 @@
     fn stream(
         self: &Arc<Self>,
         attempt: &str,
-        from: usize,
+        from: u64,
         peer: &Peer,
     ) -> Result<Response, Refusal> {
         let Some(reader) = self.attach(attempt) else {
@@ -215,3 +233,17 @@
     }
     Err(refuse(400, format!("`{id}` is not 16 hexadecimal digits")))
 }
+
+/// Hashes a prompt; a long one takes milliseconds and would hold up the other streams.
+async fn hash(completion: Completion, base: u64) -> (Completion, Chain) {
+    let long = completion.prompt.len() > INLINE_BYTES;
+    let work = move || {
+        let mut chain = Chain::new(base);
+        chain.feed(completion.prompt.as_bytes());
+        (completion, chain)
+    };
+    if long {
+        return smol::unblock(work).await;
+    }
+    work()
+}
--- a/standin/src/engine/feed.rs
+++ b/standin/src/engine/feed.rs
@@ -1,3 +1,5 @@
+//! Writing of streams to their readers.
+
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -15,7 +17,7 @@
 struct View {
     ended: bool,
     frames: Vec<String>,
-    tokens: usize,
+    tokens: u64,
 }
 
 impl Core {
@@ -38,7 +40,7 @@
     pub(super) async fn feed(
         self: Arc<Self>,
         (serial, signal): (u64, Arc<Signal>),
-        index: usize,
+        index: u64,
         writer: Writer,
         peer: Peer,
     ) {
@@ -53,7 +55,7 @@
         &self,
         serial: u64,
         signal: &Signal,
-        mut index: usize,
+        mut index: u64,
         writer: &Writer,
         peer: &Peer,
     ) -> Result<(), Error> {
@@ -118,7 +120,7 @@
             return None;
         }
         let mut others = self.streams.iter().filter(|stream| stream.serial != serial);
-        let frame = others.find_map(|stream| frame(stream, 0))?;
+        let frame = others.find_map(|stream| frame(stream, stream.first))?;
         self.cross = false;
         Some(frame)
     }
@@ -130,7 +132,7 @@
     }
 
     /// What a reader has not seen yet; `None` if the stream was cancelled or lost.
-    fn view(&mut self, serial: u64, index: usize) -> Option<View> {
+    fn view(&mut self, serial: u64, index: u64) -> Option<View> {
         let stream = match self.position(serial) {
             Some(position) => &self.streams[position],
             None => self
@@ -138,8 +140,10 @@
                 .iter()
                 .find(|stream| stream.serial == serial)?,
         };
-        let mut frames: Vec<String> = (index..).map_while(|index| frame(stream, index)).collect();
-        let tokens = frames.len();
+        let mut frames: Vec<String> = (index.max(stream.first)..)
+            .map_while(|index| frame(stream, index))
+            .collect();
+        let tokens = frames.len() as u64;
         let ended = stream.phase == Phase::Finished;
         if ended {
             frames.push(finish(stream));
@@ -161,11 +165,11 @@
     let Stream {
         attempt, cached, ..
     } = stream;
-    let count = stream.generated();
+    let count = stream.first.saturating_add(stream.generated());
     json!({ "attempt": attempt, "cached": cached, "count": count, "finish": "length" }).to_string()
 }
 
-fn frame(stream: &Stream, index: usize) -> Option<String> {
+fn frame(stream: &Stream, index: u64) -> Option<String> {
     let text = stream.token(index)?;
     Some(json!({ "attempt": stream.attempt, "index": index, "text": text }).to_string())
 }
--- a/standin/src/engine/handle.rs
+++ b/standin/src/engine/handle.rs
@@ -1,3 +1,5 @@
+//! KV handles and their tickets.
+
 use serde::{Deserialize, Serialize};
 
 /// KV that is kept under a name.
--- a/standin/src/engine/journal.rs
+++ b/standin/src/engine/journal.rs
@@ -1,3 +1,5 @@
+//! Cache events.
+
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
--- a/standin/src/engine/kv.rs
+++ b/standin/src/engine/kv.rs
@@ -1,3 +1,5 @@
+//! Requests about handles.
+
 use jujubehook_http::http_types::Response;
 use jujubehook_http::json;
 
@@ -19,13 +21,16 @@
     }
 
     /// Adds a remote handle; a second import of the same ticket changes nothing.
-    pub(super) fn import(&self, ask: &Ask) -> Result<Response, Refusal> {
+    pub(super) fn import(&self, ask: &Ask, boot: u64) -> Result<Response, Refusal> {
         let ticket: Ticket = ask.parse()?;
         let handle: Handle = ticket
             .handle()
             .ok_or_else(|| refuse(400, "malformed hash state in ticket"))?;
         check_id(&handle.name)?;
         let mut state = self.lock();
+        if state.warmth.boot != boot {
+            return Err(refuse(503, "crashed"));
+        }
         match state.find_handle(&handle.name) {
             Ok(index) if !state.handles[index].remote => {
                 return Err(refuse(409, format!("handle `{}` exists", handle.name)));
--- a/standin/src/engine/load.rs
+++ b/standin/src/engine/load.rs
@@ -1,3 +1,5 @@
+//! Execution of orders.
+
 use jujubehook_http::http_types::{Method, Response};
 use jujubehook_http::{json, Client, Reuse};
 
--- a/standin/src/engine/mod.rs
+++ b/standin/src/engine/mod.rs
@@ -12,6 +12,7 @@
 use crate::host::Host;
 use crate::signal::Signal;
 
+mod admit;
 mod cache;
 mod chain;
 mod core;
@@ -20,6 +21,7 @@
 mod journal;
 mod kv;
 mod load;
+mod memory;
 mod order;
 mod report;
 mod settings;
--- a/standin/src/engine/order.rs
+++ b/standin/src/engine/order.rs
@@ -1,3 +1,5 @@
+//! Orders and what they loaded.
+
 use std::collections::VecDeque;
 
 use serde::{Deserialize, Serialize};
--- a/standin/src/engine/report.rs
+++ b/standin/src/engine/report.rs
@@ -1,3 +1,5 @@
+//! Load reports and the rows of the statistics.
+
 use std::collections::VecDeque;
 use std::time::{Duration, Instant};
 
--- a/standin/src/engine/settings.rs
+++ b/standin/src/engine/settings.rs
@@ -1,3 +1,5 @@
+//! Settings of an engine.
+
 use std::net::SocketAddr;
 
 /// Settings of an engine.
--- a/standin/src/engine/state.rs
+++ b/standin/src/engine/state.rs
@@ -1,26 +1,20 @@
+//! State of an engine, without I/O.
+
 use std::collections::VecDeque;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
-use crate::ask::{refuse, Refusal};
-use crate::clock::unix_ms;
 use crate::engine::cache::{Cache, BLOCK_TOKENS};
-use crate::engine::chain::Chain;
 use crate::engine::handle::Handle;
-use crate::engine::journal::{Journal, Kind};
+use crate::engine::journal::Journal;
 use crate::engine::order::Orders;
-use crate::engine::report::{Memory, Reports, Seen};
-use crate::engine::stream::{Completion, Phase, Stream};
+use crate::engine::report::{Reports, Seen};
+use crate::engine::stream::{Phase, Stream};
 use crate::engine::Settings;
-use crate::signal::Signal;
-use crate::text;
 use crate::warmth::Warmth;
 
 /// Finished streams that can still be resumed.
 const FINISHED_LIMIT: usize = 256;
 
-/// Newest requests that the statistics list.
-const REQUEST_LIMIT: usize = 10_000;
-
 /// Everything that an engine holds.
 #[derive(Debug)]
 pub(super) struct State {
@@ -38,21 +32,13 @@
     pub(super) refused: u64,
     pub(super) reports: Reports,
     pub(super) requests: VecDeque<Seen>,
-    serial: u64,
+    pub(super) serial: u64,
     pub(super) settings: Settings,
     /// Sorted by attempt.
     pub(super) streams: Vec<Stream>,
     pub(super) warmth: Warmth,
 }
 
-/// Result of an accepted request.
-pub(super) enum Opened {
-    /// The engine crashed under it.
-    Crashed,
-    /// It waits for prefill.
-    Running,
-}
-
 impl State {
     pub(super) fn new(settings: Settings) -> Self {
         Self {
@@ -80,25 +66,6 @@
         }
     }
 
-    /// Hash state after the handles of a context, which must continue each other.
-    pub(super) fn base(&self, context: &[String]) -> Result<u64, Refusal> {
-        let mut state = text::empty();
-        for name in context {
-            let Ok(index) = self.find_handle(name) else {
-                return Err(refuse(404, format!("no handle `{name}`")));
-            };
-            let handle = &self.handles[index];
-            if handle.base != state {
-                return Err(refuse(
-                    400,
-                    format!("handle `{name}` does not continue the context"),
-                ));
-            }
-            state = handle.state;
-        }
-        Ok(state)
-    }
-
     /// Ends a stream without a response; false if it does not run.
     pub(super) fn cancel(&mut self, attempt: &str) -> bool {
         let Ok(index) = self.find_stream(attempt) else {
@@ -145,12 +112,6 @@
         self.note();
     }
 
-    /// Empties the prefix cache.
-    pub(super) fn clear_cache(&mut self) {
-        self.cache.clear();
-        self.journal.add(Kind::Cleared, &[], Instant::now());
-    }
-
     pub(super) fn find_handle(&self, name: &str) -> Result<usize, usize> {
         self.handles
             .binary_search_by(|handle| handle.name.as_str().cmp(name))
@@ -176,50 +137,6 @@
         false
     }
 
-    /// Memory held, by kind.
-    pub(super) fn memory(&self) -> Memory {
-        let streams = self.streams.iter().map(|stream| {
-            let prompt = stream.reserved.saturating_sub(stream.max_tokens);
-            prompt + stream.generated()
-        });
-        Memory {
-            cache: self.cache.tokens(),
-            handles: self.kept(),
-            limit: self.settings.memory,
-            reserved: self.reserved(),
-            streams: streams.sum(),
-        }
-    }
-
-    /// Records a load report.
-    pub(super) fn note(&mut self) {
-        let memory = self.memory();
-        self.peak_memory = self
-            .peak_memory
-            .max(memory.cache + memory.handles + memory.reserved);
-        let waiting = self.waiting();
-        self.reports
-            .add(&self.warmth, memory, self.streams.len(), waiting);
-    }
-
-    /// Accepts a request, whose prompt has been hashed into `chain`.
-    pub(super) fn open(&mut self, ask: Completion, chain: Chain) -> Result<Opened, Refusal> {
-        let checked = self.check(&ask, &chain);
-        let status = checked
-            .as_ref()
-            .map_or_else(|refusal| refusal.status, |()| 200);
-        self.see(&ask, status);
-        checked.inspect_err(|_| self.refused += 1)?;
-        self.reserve(text::tokens(&ask.prompt).saturating_add(ask.max_tokens));
-        self.insert(ask, chain);
-        if self.warmth.load(self.streams.len()) {
-            self.crash();
-            return Ok(Opened::Crashed);
-        }
-        self.note();
-        Ok(Opened::Running)
-    }
-
     pub(super) fn position(&self, serial: u64) -> Option<usize> {
         self.streams
             .iter()
@@ -266,69 +183,6 @@
         self.streams.iter().filter(waiting).count()
     }
 
-    /// Checks a request. Its context may have changed while the prompt was hashed.
-    fn check(&self, ask: &Completion, chain: &Chain) -> Result<(), Refusal> {
-        if ask.model != self.orders.loaded.model {
-            return Err(refuse(404, format!("model `{}` is not loaded", ask.model)));
-        }
-        if self.find_stream(&ask.attempt).is_ok() {
-            return Err(refuse(409, format!("attempt `{}` is running", ask.attempt)));
-        }
-        self.check_handle(ask)?;
-        let need = text::tokens(&ask.prompt).saturating_add(ask.max_tokens);
-        let held = self.reserved() + self.kept();
-        if need > self.settings.memory.saturating_sub(held) {
-            return Err(refuse(429, format!("no memory for {need} tokens")));
-        }
-        if self.base(&ask.context)? != chain.base {
-            return Err(refuse(409, "the context has changed"));
-        }
-        Ok(())
-    }
-
-    /// A new handle must have an unused name; an existing one can only be extended.
-    fn check_handle(&self, ask: &Completion) -> Result<(), Refusal> {
-        let Some(name) = &ask.handle else {
-            return Ok(());
-        };
-        let pending =
-            |stream: &Stream| stream.handle.as_ref() == Some(name) && stream.phase != Phase::Decode;
-        if self.streams.iter().any(pending) {
-            return Err(refuse(409, format!("handle `{name}` is being written")));
-        }
-        match self.find_handle(name) {
-            Ok(index) if self.handles[index].remote || ask.context.last() != Some(name) => {
-                Err(refuse(409, format!("handle `{name}` exists")))
-            }
-            Ok(_) | Err(_) => Ok(()),
-        }
-    }
-
-    fn insert(&mut self, ask: Completion, chain: Chain) {
-        self.serial += 1;
-        let prompt = text::tokens(&ask.prompt);
-        let stream = Stream {
-            attempt: ask.attempt,
-            cached: 0,
-            chain,
-            context: ask.context,
-            departures: 0,
-            handle: ask.handle,
-            max_tokens: ask.max_tokens,
-            phase: Phase::Waiting,
-            priority: ask.priority,
-            prompt,
-            readers: 0,
-            reserved: prompt + ask.max_tokens,
-            serial: self.serial,
-            signal: Signal::default().into(),
-            text: String::new(),
-        };
-        if let Err(index) = self.find_stream(&stream.attempt) {
-            self.streams.insert(index, stream);
-        }
-    }
-
     /// Moves the prompt of a stream into its handle.
     fn keep(&mut self, index: usize) {
         let stream = &mut self.streams[index];
@@ -354,41 +208,4 @@
             ),
         }
     }
-
-    /// Memory of local handles in tokens.
-    fn kept(&self) -> u64 {
-        let local = self.handles.iter().filter(|handle| !handle.remote);
-        local.map(|handle| handle.tokens).sum()
-    }
-
-    /// Evicts cache blocks until `need` tokens fit.
-    fn reserve(&mut self, need: u64) {
-        let held = self.reserved() + self.kept() + need;
-        let removed = self.cache.trim(self.settings.memory.saturating_sub(held));
-        self.journal.add(Kind::Removed, &removed, Instant::now());
-    }
-
-    fn reserved(&self) -> u64 {
-        self.streams.iter().map(|stream| stream.reserved).sum()
-    }
-
-    fn see(&mut self, ask: &Completion, status: u16) {
-        if self.requests.len() == REQUEST_LIMIT {
-            self.requests.pop_front();
-        }
-        self.requests.push_back(Seen {
-            at_ms: unix_ms(),
-            attempt: ask.attempt.clone(),
-            handle: ask.handle.clone(),
-            prompt: text::tokens(&ask.prompt),
-            status,
-        });
-    }
-
-    /// Adds blocks to the prefix cache as far as memory is left.
-    fn store(&mut self, blocks: &[u64]) {
-        let stored = self.cache.insert(blocks);
-        self.journal.add(Kind::Stored, &stored, Instant::now());
-        self.reserve(0);
-    }
 }
--- a/standin/src/engine/stream.rs
+++ b/standin/src/engine/stream.rs
@@ -1,3 +1,5 @@
+//! Requests and the streams that they open.
+
 use std::sync::Arc;
 
 use serde::Deserialize;
@@ -19,8 +21,9 @@
     #[serde(default)]
     pub(super) priority: i64,
     pub(super) prompt: String,
+    /// Tokens of an earlier run at the end of the prompt; the first index.
     #[serde(default)]
-    pub(super) resume: usize,
+    pub(super) resume: u64,
 }
 
 /// Progress of a stream.
@@ -45,6 +48,8 @@
     pub(super) context: Vec<String>,
     /// How often the last reader left.
     pub(super) departures: u64,
+    /// Index of the first generated token.
+    pub(super) first: u64,
     pub(super) handle: Option<String>,
     pub(super) max_tokens: u64,
     pub(super) phase: Phase,
@@ -66,8 +71,9 @@
     }
 
     /// Token `index` of the response.
-    pub(super) fn token(&self, index: usize) -> Option<&str> {
-        let start = index.checked_mul(TOKEN_BYTES)?;
-        self.text.get(start..start + TOKEN_BYTES)
+    pub(super) fn token(&self, index: u64) -> Option<&str> {
+        let place = usize::try_from(index.checked_sub(self.first)?).ok()?;
+        let start = place.checked_mul(TOKEN_BYTES)?;
+        self.text.get(start..start.checked_add(TOKEN_BYTES)?)
     }
 }
--- a/standin/src/engine/work.rs
+++ b/standin/src/engine/work.rs
@@ -1,3 +1,5 @@
+//! Prefill and decode in time.
+
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
--- a/standin/src/gate.rs
+++ b/standin/src/gate.rs
@@ -108,10 +108,11 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// The freeze keeps requests that come before the connections are cut from having an effect.
+    /// The freeze keeps requests that come before the connections are cut from having an effect; it outlasts the
+    /// cut even if the outage has no length.
     fn start(&self, outage: Outage) {
         let mut state = self.lock();
-        let end = Instant::now().checked_add(outage.delay + outage.length);
+        let end = Instant::now().checked_add(outage.delay + outage.length + REPLY_TIME);
         state.frozen = state.frozen.max(end);
         let _ = self.outages.try_send(outage);
     }
--- a/standin/src/host.rs
+++ b/standin/src/host.rs
@@ -67,6 +67,7 @@
     let address = server.address();
     while let Ok(outage) = outages.recv().await {
         Timer::after(outage.delay).await;
+        tracing::info!(%address, length_ms = outage.length.as_millis(), "outage");
         drop(server);
         Timer::after(outage.length).await;
         server = loop {
--- a/standin/src/list.rs
+++ b/standin/src/list.rs
@@ -129,6 +129,7 @@
             Err(error) => return refuse(400, error.to_string()).into(),
         };
         match (ask.method, ask.segments().as_slice()) {
+            (Method::Get, ["stats"]) => self.stats(),
             (Method::Post, ["fault"]) => self.fault(&ask).unwrap_or_else(Response::from),
             (Method::Get, ["instances"]) => {
                 self.gate.thaw().await;
@@ -197,6 +198,17 @@
         ))
     }
 
+    fn stats(&self) -> Response {
+        let waiting = self.changed.waiting();
+        let history = self.lock();
+        let newest = &history.views[history.views.len() - 1];
+        let (instances, version) = (newest.instances.len(), newest.version);
+        json(
+            200,
+            &value!({ "instances": instances, "version": version, "waiting": waiting }),
+        )
+    }
+
     fn write(&self, ask: &Ask, id: &str) -> Result<Response, Refusal> {
         let instance = match ask.method {
             Method::Put => Some(Instance {
--- a/standin/src/log.rs
+++ b/standin/src/log.rs
@@ -202,10 +202,14 @@
             .iter()
             .map(|stream| value!({ "first": stream.first, "name": stream.name, "next": stream.next() }))
             .collect();
-        let (appends, refused) = (state.appends, state.refused);
         json(
             200,
-            &value!({ "appends": appends, "refused": refused, "streams": streams }),
+            &value!({
+                "appends": state.appends,
+                "refused": state.refused,
+                "streams": streams,
+                "waiting": self.appended.waiting(),
+            }),
         )
     }
 }
--- a/standin/src/service.rs
+++ b/standin/src/service.rs
@@ -147,8 +147,9 @@
             (Method::Get, ["stats"]) => self.stats(),
             (Method::Post, ["fault"]) => self.fault(&ask).unwrap_or_else(Response::from),
             (Method::Post, ["call", name]) => {
+                let boot = self.lock().warmth.boot;
                 self.gate.thaw().await;
-                let response = self.call(&ask, name, &peer).await;
+                let response = self.call(&ask, name, boot, &peer).await;
                 let response = response.unwrap_or_else(Response::from);
                 self.gate.leave(response, &peer, true).await
             }
@@ -164,10 +165,11 @@
         self: &Arc<Self>,
         ask: &Ask,
         name: &str,
+        boot: u64,
         peer: &Peer,
     ) -> Result<Response, Refusal> {
         let body: Value = ask.parse()?;
-        let Some(running) = self.execute(ask.key.as_deref(), name) else {
+        let Some(running) = self.execute(ask.key.as_deref(), name, boot) else {
             // The crash cuts this connection.
             peer.closed().await;
             return Err(refuse(503, "crashed"));
@@ -190,9 +192,12 @@
         state.running = 0;
     }
 
-    /// Executes a call; `None` if the service crashed under it.
-    fn execute(self: &Arc<Self>, key: Option<&str>, name: &str) -> Option<Running> {
+    /// Executes a call that came in boot `boot`; `None` if the service has crashed since or crashes under it.
+    fn execute(self: &Arc<Self>, key: Option<&str>, name: &str, boot: u64) -> Option<Running> {
         let mut state = self.lock();
+        if state.warmth.boot != boot {
+            return None;
+        }
         state.see(key, name);
         state.running += 1;
         let running = state.running;
--- a/standin/src/signal.rs
+++ b/standin/src/signal.rs
@@ -33,6 +33,12 @@
         }
     }
 
+    /// Number of tasks that wait.
+    pub(crate) fn waiting(&self) -> usize {
+        let ends = self.ends.lock().unwrap_or_else(PoisonError::into_inner);
+        ends.1.receiver_count() - 1
+    }
+
     /// Wakes all listeners: replacing the channel drops its only sender.
     pub(crate) fn notify(&self) {
         *self.ends.lock().unwrap_or_else(PoisonError::into_inner) = async_channel::bounded(1);
--- a/standin/src/warmth.rs
+++ b/standin/src/warmth.rs
@@ -73,6 +73,7 @@
         if running <= self.cold_limit {
             return false;
         }
+        tracing::warn!(boot = self.boot, running, "crash under load while cold");
         if self.falls.len() < FALL_LIMIT {
             self.falls.push(Fall {
                 at_ms: unix_ms(),
--- a/standin/tests/engine_faults.rs
+++ b/standin/tests/engine_faults.rs
@@ -4,7 +4,7 @@
 
 use std::time::{Duration, Instant};
 
-use common::{ask, back, complete, engine, fault, open, post, quick, send, stats, try_open};
+use common::{ask, back, complete, engine, fault, get, open, post, quick, send, stats, try_open};
 use jujubehook_http::http_types::Method;
 use jujubehook_http::{within, Error};
 use jujubehook_standin::engine::Settings;
@@ -95,6 +95,24 @@
     });
 }
 
+/// Guards against load reports that are up to date although they lag.
+#[test]
+fn late_reports() {
+    smol::block_on(async {
+        let engine = engine(Settings {
+            decode_rate: 1.0,
+            ..quick()
+        })
+        .await;
+        let address = engine.address();
+        fault(address, json!({ "late_reports_ms": 60_000 })).await;
+        let _stream = open(address, &ask(1, "prompt", 100)).await;
+        assert_eq!(get(address, "/v1/load").await.1["running"], 0);
+        fault(address, json!({ "late_reports_ms": 0 })).await;
+        assert_eq!(get(address, "/v1/load").await.1["running"], 1);
+    });
+}
+
 /// Guards against misspelt switches that are silently without effect.
 #[test]
 fn unknown_switch() {
--- a/standin/tests/instance_list.rs
+++ b/standin/tests/instance_list.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
-use common::{delete, fault, get, loopback, send};
+use common::{delete, fault, get, loopback, send, until};
 use jujubehook_http::http_types::Method;
 use jujubehook_standin::list::{List, Settings};
 use serde_json::json;
@@ -69,6 +69,7 @@
         let polls: Vec<_> = (0..20)
             .map(|_| smol::spawn(get(address, "/instances?version=1&wait_ms=15000")))
             .collect();
+        until(address, "polls", |stats| stats["waiting"] == 20).await;
         put(address, "i1", "live").await;
         for poll in polls {
             assert_eq!(poll.await.1["version"], 2);
--- a/standin/tests/log_faults.rs
+++ b/standin/tests/log_faults.rs
@@ -4,7 +4,7 @@
 
 use std::time::{Duration, Instant};
 
-use common::{back, fault, get, loopback, post, send};
+use common::{back, fault, get, loopback, post, send, until};
 use jujubehook_http::http_types::Method;
 use jujubehook_http::{within, Error};
 use jujubehook_standin::log::{Log, Settings};
@@ -119,6 +119,7 @@
         let polls: Vec<_> = (0..20)
             .map(|_| smol::spawn(get(address, "/streams/s?from=1&wait_ms=15000")))
             .collect();
+        until(address, "polls", |stats| stats["waiting"] == 20).await;
         post(address, "/streams/s", json!("entry")).await;
         for poll in polls {
             assert_eq!(poll.await.1["entries"][0]["offset"], 1);
--- a/standin/tests/stream_resume.rs
+++ b/standin/tests/stream_resume.rs
@@ -69,3 +69,20 @@
             .is_some());
     });
 }
+
+/// Guards against a continuation on another engine whose text or indexes do not follow on.
+#[test]
+fn continuation() {
+    smol::block_on(async {
+        let engine = engine(settings(20_000)).await;
+        let whole = text::response("prompt--", 8);
+        let (sent, rest) = whole.split_at(3 * text::TOKEN_BYTES);
+        let mut body = ask(1, &format!("prompt--{sent}"), 5);
+        body["resume"] = 3.into();
+        let mut stream = open(engine.address(), &body).await;
+        assert_eq!(stream.next().await.unwrap()["index"], 3);
+        let end = stream.end().await;
+        assert_eq!(end.finish.unwrap()["count"], 8);
+        assert_eq!(end.text, rest[text::TOKEN_BYTES..]);
+    });
+}
