--- a/src/claim/ledger.rs
+++ b/src/claim/ledger.rs
@@ -93,7 +93,12 @@
                 .insert(index, Slot::new(key.into(), parsed.millis()));
             index
         });
-        let expiry = self.now + self.settings.validity_ms;
+        // Not beyond the key's own end, so that no claim is dispatched after a refusal of the key as expired.
+        let end = match self.guards().lifetime {
+            true => parsed.millis().saturating_add(self.settings.lifetime_ms),
+            false => u64::MAX,
+        };
+        let expiry = end.min(self.now + self.settings.validity_ms);
         self.slots[index].attempt = Some(Attempt {
             expiry,
             nonce,
@@ -440,7 +445,10 @@
             kind: Kind::Unavailable,
         };
         let Ok(index) = self.find(key) else {
-            return unavailable;
+            // The key was dropped after its lifetime, so an earlier call with it may have run.
+            return Step::Refuse {
+                kind: Kind::OutcomeUnknown,
+            };
         };
         let slot = &self.slots[index];
         match &slot.settled {
--- a/src/claim/settings.rs
+++ b/src/claim/settings.rs
@@ -10,7 +10,7 @@
     pub first: bool,
     /// A key whose claims may have been lost to retention is not claimed again.
     pub horizon: bool,
-    /// An expired key is not claimed.
+    /// An expired key is neither claimed nor dispatched.
     pub lifetime: bool,
     /// One claim is dispatched only once.
     pub once: bool,
