tests: state the element type of two empty lists in cold_limit

main at does not compile tests/cold_limit.rs: once the library uses serde_json, `Vec<u64> == [_; 0]` has two candidates for the element type. Compare with `Vec::<u64>::new()`; the assertion is the same.

Measured: the four tests of the file pass.

--- a/tests/cold_limit.rs
+++ b/tests/cold_limit.rs
@@ -74,7 +74,7 @@
     assert_eq!(scheduler.state(), State::Cold);
     for request in &running[..6] {
         complete(&mut scheduler, &[*request]);
-        assert_eq!(sent(&mut scheduler), []);
+        assert_eq!(sent(&mut scheduler), Vec::<u64>::new());
     }
     complete(&mut scheduler, &running[6..]);
     assert_eq!(
@@ -89,7 +89,7 @@
 fn foreign_streams_count() {
     let mut scheduler = scheduler();
     scheduler.foreign(2, 50, T0);
-    assert_eq!(sent(&mut scheduler), []);
+    assert_eq!(sent(&mut scheduler), Vec::<u64>::new());
     scheduler.foreign(0, 0, T0);
     assert!(scheduler.hold(900, 1_000, T0));
     assert_eq!(sent(&mut scheduler).len(), 1);
