command: add the operators' command line

Operators need to check, publish and inspect records and to read the events of all processes in one order.

The fold refuses unknown keys in an entry, so there is no nonce: an equal entry of another operator puts the same record in force. show prints TOML that apply reads again. status asks all instances at the same time. timeline merges event lines by logical time, wall time and instance, and draws them as SVG.

The table in command/table.rs takes further subcommands.

--- /dev/null
+++ b/src/command/check/mod.rs
@@ -0,0 +1,64 @@
+use std::path::Path;
+
+use serde_json::json;
+
+use super::options::{single, Options};
+use super::{change, folder, output, Error};
+use crate::record::Fold;
+
+/// Text of `jujubehook check --help`.
+pub(super) const HELP: &str = "\
+Usage: jujubehook check [--json] FOLDER
+
+Checks the records in all `.toml` files of a folder without a network. Each
+fault names file, line and key.
+
+A file holds one record:
+
+  schema = 2
+  kind = \"domain\"
+  name = \"north\"
+  [body.service]
+  in = true
+
+or several, each as a `[[record]]` table with the same keys.
+
+Options:
+  --json  print {\"faults\":[..],\"records\":N}
+
+Examples:
+  jujubehook check records
+  jujubehook check --json records
+
+Exit codes: 0 all valid, 1 unreadable folder, 2 bad usage,
+3 a record is not valid
+";
+
+/// Runs `jujubehook check`.
+pub(super) fn run(parser: &mut lexopt::Parser) -> Result<(), Error> {
+    let (options, values) = Options::offline(parser, &mut |_, _| Ok(false))?;
+    check_folder(&single(values, "FOLDER")?, options.json)
+}
+
+fn check_folder(path: &Path, json: bool) -> Result<(), Error> {
+    let (items, mut faults) = folder::read(path)?;
+    faults.extend(change::faults(&items, &Fold::default()));
+    report(items.len(), &faults, json)?;
+    match faults.len() {
+        0 => Ok(()),
+        count => Err(Error::Conflict(format!(
+            "faults in `{}`: {count}",
+            path.display()
+        ))),
+    }
+}
+
+fn report(records: usize, faults: &[String], json: bool) -> Result<(), Error> {
+    if json {
+        return output::print_json(&json!({"faults": faults, "records": records}));
+    }
+    for fault in faults {
+        output::warn(fault);
+    }
+    output::print(&format!("records: {records}\n"))
+}
--- /dev/null
+++ b/src/command/force.rs
@@ -0,0 +1,107 @@
+use std::time::Duration;
+
+use super::Error;
+use crate::id::Offset;
+use crate::platform::{self, Log};
+use crate::record::{Fold, Verdict};
+
+/// Stream of the records.
+const STREAM: &str = "config";
+
+/// Stream of the snapshots of the fold.
+const SNAPSHOT_STREAM: &str = "config-snapshot";
+
+/// Entries in one read.
+const PAGE: usize = 256;
+
+/// Snapshots in one read; one may be as large as all records together.
+const SNAPSHOT_PAGE: usize = 4;
+
+/// The records in force, as folded from the log.
+#[derive(Debug)]
+pub(super) struct Force {
+    pub(super) fold: Fold,
+    log: Log,
+}
+
+impl Force {
+    /// Reads the log to its end.
+    pub(super) async fn read(log: Log) -> Result<Self, Error> {
+        let mut force = Self {
+            fold: Fold::default(),
+            log,
+        };
+        force.catch_up(|_, _, _| ()).await?;
+        Ok(force)
+    }
+
+    /// Appends an entry.
+    pub(super) async fn append(&self, entry: &str) -> Result<Offset, platform::Error> {
+        self.log.append(STREAM, entry).await
+    }
+
+    /// Folds all entries that were appended since the last read, and shows each of them to `see`.
+    pub(super) async fn catch_up(
+        &mut self,
+        mut see: impl FnMut(Offset, &str, Verdict),
+    ) -> Result<(), Error> {
+        loop {
+            let next = self.fold.offset() + 1;
+            let page = self.log.read(STREAM, next, PAGE, Duration::ZERO).await;
+            let page = page.map_err(unread)?;
+            if page.first > next {
+                self.restore(page.first).await?;
+                continue;
+            }
+            if page.entries.is_empty() {
+                return Ok(());
+            }
+            for entry in page.entries {
+                let verdict = self.fold.apply(entry.offset, &entry.body);
+                let verdict = verdict.map_err(|error| {
+                    Error::Failed(format!(
+                        "offset {} of stream `{STREAM}`: {error}",
+                        entry.offset
+                    ))
+                })?;
+                see(entry.offset, &entry.body, verdict);
+            }
+        }
+    }
+
+    /// Starts from the last snapshot, since the log does not keep the entries before `first`.
+    async fn restore(&mut self, first: Offset) -> Result<(), Error> {
+        let mut last = None;
+        let mut next = 1;
+        loop {
+            let page = self
+                .log
+                .read(SNAPSHOT_STREAM, next, SNAPSHOT_PAGE, Duration::ZERO);
+            let page = page.await.map_err(unread)?;
+            let Some(entry) = page.entries.into_iter().next_back() else {
+                break;
+            };
+            next = entry.offset + 1;
+            last = Some(entry.body);
+        }
+        let Some(last) = last else {
+            return Err(Error::Failed(format!(
+                "stream `{STREAM}` starts at offset {first} and stream `{SNAPSHOT_STREAM}` is empty"
+            )));
+        };
+        let fold = Fold::from_snapshot(last.as_bytes())
+            .map_err(|error| Error::Failed(format!("stream `{SNAPSHOT_STREAM}`: {error}")))?;
+        let offset = fold.offset();
+        if offset <= self.fold.offset() || offset + 1 < first {
+            return Err(Error::Failed(format!(
+                "stream `{STREAM}` starts at offset {first} and the last snapshot is at {offset}"
+            )));
+        }
+        self.fold = fold;
+        Ok(())
+    }
+}
+
+fn unread(error: platform::Error) -> Error {
+    Error::Failed(format!("cannot read the log: {error}"))
+}
--- /dev/null
+++ b/src/command/probe.rs
@@ -0,0 +1,103 @@
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use jujubehook_http::http_types::Method;
+use jujubehook_http::{within, Client, Reuse};
+use serde::{Deserialize, Serialize};
+use serde_json::{Map, Value};
+
+use crate::platform::{Listing, Member, Role, State};
+
+/// Largest status answer in bytes.
+const LIMIT: usize = 4 << 20;
+
+/// Time for one status request.
+const TIMEOUT: Duration = Duration::from_secs(1);
+
+/// What an instance says of itself.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub(super) struct Status {
+    #[serde(default)]
+    pub(super) alarms: Vec<Value>,
+    pub(super) domain: String,
+    #[serde(default)]
+    pub(super) in_service: Option<bool>,
+    #[serde(default)]
+    pub(super) incarnation: Value,
+    pub(super) instance: String,
+    #[serde(default)]
+    pub(super) leaving: bool,
+    pub(super) offset: u64,
+    /// Members that this build does not read; `--json` shows them.
+    #[serde(flatten)]
+    pub(super) other: Map<String, Value>,
+    #[serde(default)]
+    pub(super) peers: Vec<Peer>,
+    #[serde(default)]
+    pub(super) ready: bool,
+    #[serde(default)]
+    pub(super) targets: Vec<Target>,
+}
+
+/// What an instance knows of a peer.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub(super) struct Peer {
+    #[serde(default)]
+    pub(super) age_ms: Option<u64>,
+    pub(super) instance: String,
+}
+
+/// What an instance knows of a target.
+#[derive(Clone, Debug, Default, Deserialize, Serialize)]
+#[serde(default)]
+pub(super) struct Target {
+    pub(super) domain: Option<String>,
+    pub(super) free_tokens: Option<u64>,
+    pub(super) limit: Option<u64>,
+    pub(super) owner: Option<String>,
+    pub(super) queued: Option<u64>,
+    pub(super) running: Option<u64>,
+    pub(super) state: Option<String>,
+    pub(super) target: Option<String>,
+}
+
+/// The instances of a listing that the filter admits.
+pub(super) fn entries(listing: &Listing, live: bool) -> Vec<Member> {
+    let admitted =
+        |member: &&Member| member.role == Role::Entry && (!live || member.state == State::Live);
+    listing.instances.iter().filter(admitted).cloned().collect()
+}
+
+/// Asks all members at the same time; the answers are in the order of the members.
+pub(super) async fn all(members: &[Member], key: &str) -> Vec<Result<Status, String>> {
+    let ask = |member: &Member| smol::spawn(ask(member.clone(), key.to_owned()));
+    let tasks: Vec<_> = members.iter().map(ask).collect();
+    let mut answers = Vec::new();
+    for task in tasks {
+        answers.push(task.await);
+    }
+    answers
+}
+
+async fn ask(member: Member, key: String) -> Result<Status, String> {
+    let (status, bytes) = within(TIMEOUT, fetch(member.address, &key))
+        .await
+        .map_err(|error| error.to_string())?;
+    if status != 200 {
+        return Err(format!("status {status}"));
+    }
+    let status: Status =
+        serde_json::from_slice(&bytes).map_err(|error| format!("bad answer: {error}"))?;
+    if status.instance != member.id {
+        return Err(format!("`{}` answers at its address", status.instance));
+    }
+    Ok(status)
+}
+
+async fn fetch(address: SocketAddr, key: &str) -> Result<(u16, Vec<u8>), jujubehook_http::Error> {
+    let mut request = Client::request(Method::Get, address, "/peer/status")?;
+    request.insert_header("x-peer-key", key);
+    let client = Client::default();
+    let (response, bytes) = client.fetch(address, request, Reuse::Never, LIMIT).await?;
+    Ok((u16::from(response.status()), bytes))
+}
--- /dev/null
+++ b/src/command/table.rs
@@ -0,0 +1,80 @@
+use super::{apply, check, plan, show, status, timeline, Error};
+
+/// One subcommand.
+#[derive(Debug)]
+pub struct Command {
+    /// Text of `--help`.
+    pub help: &'static str,
+    /// The word that selects it.
+    pub name: &'static str,
+    /// Reads the remaining arguments and does the work.
+    pub run: fn(&mut lexopt::Parser) -> Result<(), Error>,
+    /// One line for the list of commands.
+    pub summary: &'static str,
+}
+
+/// All subcommands, sorted by name.
+pub const COMMANDS: &[Command] = &[
+    Command {
+        help: apply::HELP,
+        name: "apply",
+        run: apply::run,
+        summary: "publish the records of a folder and wait until they are in force",
+    },
+    Command {
+        help: check::HELP,
+        name: "check",
+        run: check::run,
+        summary: "check records or daemon settings without a network",
+    },
+    Command {
+        help: plan::HELP,
+        name: "plan",
+        run: plan::run,
+        summary: "show what `apply` would change",
+    },
+    Command {
+        help: show::HELP,
+        name: "show",
+        run: show::run,
+        summary: "print the records in force",
+    },
+    Command {
+        help: status::HELP,
+        name: "status",
+        run: status::run,
+        summary: "show instances and targets",
+    },
+    Command {
+        help: timeline::HELP,
+        name: "timeline",
+        run: timeline::run,
+        summary: "merge the event lines of several processes",
+    },
+];
+
+/// Text of `jujubehook --help`.
+pub(super) fn help() -> String {
+    let row = |command: &Command| format!("  {:<10}{}\n", command.name, command.summary);
+    let rows: String = COMMANDS.iter().map(row).collect();
+    format!(
+        "Usage: jujubehook COMMAND [OPTION]...
+
+Commands:
+{rows}
+`jujubehook COMMAND --help` describes a command. `--version` prints the version.
+
+Exit codes:
+  0  success
+  1  failure
+  2  bad usage
+  3  a record was rejected or conflicts with another one
+  4  records are not in force everywhere in time
+"
+    )
+}
+
+/// Text of `jujubehook --version`.
+pub(super) fn version() -> String {
+    format!("jujubehook {}\n", env!("CARGO_PKG_VERSION"))
+}
--- /dev/null
+++ b/src/command/timeline/lines.rs
@@ -0,0 +1,36 @@
+use std::fs;
+use std::path::{Path, PathBuf};
+
+use crate::command::Error;
+use crate::event::Line;
+
+/// Reads all files; returns the lines in order and a report of each malformed line.
+pub(super) fn read(files: &[PathBuf]) -> Result<(Vec<Line>, Vec<String>), Error> {
+    let mut lines = Vec::new();
+    let mut malformed = Vec::new();
+    for file in files {
+        let bytes = fs::read(file)
+            .map_err(|error| Error::Failed(format!("cannot read `{}`: {error}", file.display())))?;
+        collect(file, &bytes, &mut lines, &mut malformed);
+    }
+    lines.sort();
+    Ok((lines, malformed))
+}
+
+fn collect(file: &Path, bytes: &[u8], lines: &mut Vec<Line>, malformed: &mut Vec<String>) {
+    for (index, bytes) in bytes.split(|&byte| byte == b'\n').enumerate() {
+        if bytes.trim_ascii().is_empty() {
+            continue;
+        }
+        let parsed = match std::str::from_utf8(bytes) {
+            Ok(text) => Line::parse(text),
+            Err(_) => Err("not UTF-8".into()),
+        };
+        match parsed {
+            Ok(line) => lines.push(line),
+            Err(reason) => {
+                malformed.push(format!("`{}` line {}: {reason}", file.display(), index + 1));
+            }
+        }
+    }
+}
--- a/src/event/mod.rs
+++ b/src/event/mod.rs
@@ -4,11 +4,14 @@
 //! (logical time), `instance` and `domain`. Ids are written by [`hex`]. Prompt text and keys are never logged.
 
 mod level;
+mod line;
+mod pairs;
 mod settings;
 mod source;
 mod start;
 
 pub use level::Level;
+pub use line::Line;
 pub use settings::Settings;
 pub use source::Source;
 pub use start::start;
--- a/src/platform/settings.rs
+++ b/src/platform/settings.rs
@@ -14,9 +14,9 @@
 impl Default for Settings {
     fn default() -> Self {
         Self {
-            answer_limit: 16 << 20,
-            // An escaped entry of this size still fits into one answer.
-            entry_limit: 4 << 20,
+            answer_limit: 40 << 20,
+            // A snapshot of the largest fold, which is limited to 16 MiB of records.
+            entry_limit: 20 << 20,
             timeout: Duration::from_secs(2),
         }
     }
