--- a/src/command/spread.rs
+++ b/src/command/spread.rs
@@ -5,7 +5,7 @@
 
 use super::{probe, Error};
 use crate::id::Offset;
-use crate::platform::{List, Listing};
+use crate::platform::{self, List, Listing, Member};
 
 /// Time between two rounds of questions.
 const PAUSE: Duration = Duration::from_millis(200);
@@ -40,22 +40,24 @@
             Err(error) => Some(error),
         };
         let over = Instant::now() >= end;
-        if let Some(listing) = &listing {
-            let behind = behind(listing, key, offset).await;
-            if behind.is_empty() || over {
-                return Ok(behind);
+        let members = listing
+            .as_ref()
+            .map(|listing| probe::entries(listing, true));
+        match members.filter(|members| !members.is_empty()) {
+            Some(members) => {
+                let behind = behind(members, key, offset).await;
+                if behind.is_empty() || over {
+                    return Ok(behind);
+                }
             }
-        } else if let Some(failure) = failure.filter(|_| over) {
-            return Err(Error::Late(format!(
-                "cannot read the instance list: {failure}"
-            )));
+            None if over => return Err(unlisted(failure)),
+            None => {}
         }
         Timer::after(PAUSE).await;
     }
 }
 
-async fn behind(listing: &Listing, key: &str, offset: Offset) -> Vec<Behind> {
-    let members = probe::entries(listing, true);
+async fn behind(members: Vec<Member>, key: &str, offset: Offset) -> Vec<Behind> {
     let answers = probe::all(&members, key).await;
     let mut behind = Vec::new();
     for (member, answer) in members.into_iter().zip(answers) {
@@ -71,3 +73,11 @@
     }
     behind
 }
+
+/// Nothing is known of any instance, so the records may not be in force anywhere.
+fn unlisted(failure: Option<platform::Error>) -> Error {
+    Error::Late(match failure {
+        Some(failure) => format!("cannot read the instance list: {failure}"),
+        None => "the instance list has no live instance".into(),
+    })
+}
