--- a/http/src/server.rs
+++ b/http/src/server.rs
@@ -17,11 +17,12 @@
 /// Pause after a failed accept, which otherwise would spin when descriptors run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
-/// A running HTTP server. Dropping it closes the listener and cuts every connection.
+/// A running HTTP server. Dropping it closes the listener and cuts every connection a little later;
+/// [`Server::stop`] waits for that.
 #[derive(Debug)]
 pub struct Server {
     address: SocketAddr,
-    _task: Task<()>,
+    task: Task<()>,
 }
 
 impl Server {
@@ -34,16 +35,18 @@
         let listener = TcpListener::bind(address).await?;
         let address = listener.local_addr()?;
         let task = smol::spawn(serve(listener, handler));
-        Ok(Self {
-            address,
-            _task: task,
-        })
+        Ok(Self { address, task })
     }
 
     /// The address that the server listens on.
     pub fn address(&self) -> SocketAddr {
         self.address
     }
+
+    /// Closes the listener and cuts every connection.
+    pub async fn stop(self) {
+        self.task.cancel().await;
+    }
 }
 
 /// Connections run on an executor of this server, so that they end together with it.
--- a/http/tests/exchange.rs
+++ b/http/tests/exchange.rs
@@ -142,7 +142,7 @@
     smol::block_on(async {
         let server = Server::start(free(), count).await.unwrap();
         let address = server.address();
-        drop(server);
+        server.stop().await;
         let request = Client::request(Method::Get, address, "/").unwrap();
         let error = Client::default().stream(address, request).await.err();
         assert!(error.is_some_and(|error| error.unsent()));
--- a/src/daemon/serve/call.rs
+++ b/src/daemon/serve/call.rs
@@ -7,12 +7,14 @@
 
 use super::engine::unreachable;
 use super::ticket::Ticket;
+use super::Slot;
 use crate::daemon::client;
 use crate::daemon::state::{lock, State};
 use crate::error::{Error, Kind};
 use crate::event;
 use crate::event::hex;
 use crate::id::tokens;
+use crate::platform;
 use crate::target::Item;
 use crate::wire::{Call, Reply};
 
@@ -75,7 +77,7 @@
         call = call.name.as_str()
     );
     let left = deadline.saturating_sub(state.clock.now());
-    let outcome = send(state, address, connection, call, left).await;
+    let outcome = send(state, &slot, address, connection, call, left).await;
     let now = state.clock.now();
     lock(&state.outlier).record(target, outcome.is_ok(), now);
     ticket.finish(outcome.is_ok());
@@ -87,6 +89,7 @@
 
 async fn send(
     state: &State,
+    slot: &Slot,
     address: SocketAddr,
     connection: Connection,
     call: &Call,
@@ -100,6 +103,7 @@
     request.set_content_type(mime::JSON);
     let work = async {
         let mut response = connection.send(request).await?;
+        slot.set_warmth(state, platform::boot(&response), platform::cold(&response));
         let bytes = read(response.take_body(), state.settings.limits.body).await?;
         let body = String::from_utf8(bytes)
             .map_err(|error| jujubehook_http::Error::Exchange(error.to_string()))?;
--- a/src/daemon/serve/segment.rs
+++ b/src/daemon/serve/segment.rs
@@ -97,7 +97,8 @@
         context,
         handle: Some(part),
         model: segment.model.clone(),
-        priority: dispatch.priority,
+        // Engines take the lowest number first.
+        priority: -dispatch.priority,
         prompt: super::run::piece(&segment.text, dispatch).to_owned(),
         stream: true,
         ..Completion::default()
--- a/src/daemon/serve/slot.rs
+++ b/src/daemon/serve/slot.rs
@@ -183,6 +183,18 @@
         lock(&self.inner).checked = checked;
     }
 
+    /// Takes what a reply of the target says about its boot and its temperature.
+    pub(crate) fn set_warmth(&self, state: &State, boot: Option<u64>, cold: Option<bool>) {
+        self.update(state, |scheduler, now| {
+            if let Some(boot) = boot {
+                scheduler.boot(boot, now);
+            }
+            if let Some(cold) = cold {
+                scheduler.report(cold, now);
+            }
+        });
+    }
+
     /// Notes whether the target may take new work; true if it may again.
     pub(crate) fn set_serving(&self, serving: bool) -> bool {
         let before = std::mem::replace(&mut lock(&self.inner).serving, serving);
--- a/src/platform/engine.rs
+++ b/src/platform/engine.rs
@@ -5,6 +5,8 @@
 use jujubehook_http::{within, Client, Connection, Error, Events, Reuse};
 use serde::{Deserialize, Serialize};
 
+use super::warmth::{boot, cold};
+
 use crate::id::{AttemptId, Tokens};
 
 /// Longest time for a short call to an engine.
@@ -13,9 +15,6 @@
 /// Largest accepted answer of a short call in bytes.
 const CALL_LIMIT: usize = 4 << 20;
 
-/// Header with the boot number on each reply.
-const BOOT_HEADER: &str = "x-boot";
-
 /// Client of one model engine.
 #[derive(Clone, Copy, Debug)]
 pub struct Engine<'a> {
@@ -41,7 +40,7 @@
     pub max_tokens: Tokens,
     /// Model to use.
     pub model: String,
-    /// Higher goes first.
+    /// The lowest number goes first.
     pub priority: i32,
     /// Prompt text.
     pub prompt: String,
@@ -74,6 +73,8 @@
 pub struct Stream {
     /// Boot number of the engine.
     pub boot: Option<u64>,
+    /// Whether the engine says that it is cold.
+    pub cold: Option<bool>,
     /// Events of the stream.
     pub events: Events<Response>,
     /// HTTP status.
@@ -221,11 +222,9 @@
 }
 
 fn stream(response: Response) -> Stream {
-    let boot = response
-        .header(BOOT_HEADER)
-        .and_then(|values| values.last().as_str().parse().ok());
     Stream {
-        boot,
+        boot: boot(&response),
+        cold: cold(&response),
         status: response.status().into(),
         events: Events::new(response),
     }
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -12,6 +12,7 @@
 mod role;
 mod settings;
 mod state;
+mod warmth;
 
 pub use engine::Completion;
 pub use engine::Engine;
@@ -30,3 +31,5 @@
 pub use role::Role;
 pub use settings::Settings;
 pub use state::State;
+pub use warmth::boot;
+pub use warmth::cold;
--- a/src/target/ramp.rs
+++ b/src/target/ramp.rs
@@ -8,6 +8,8 @@
     epoch: u64,
     full: u32,
     limit: u32,
+    /// What the target said about itself since it last turned cold.
+    reported: Option<bool>,
     state: State,
 }
 
@@ -22,6 +24,7 @@
             epoch: 0,
             full,
             limit: cold,
+            reported: None,
             state: State::Cold,
         }
     }
@@ -31,12 +34,22 @@
         self.completed = 0;
         self.epoch += 1;
         self.limit = self.cold;
+        self.reported = None;
         self.state = State::Cold;
     }
 
+    /// Takes the target's own word whether it is cold. It stays at the cold limit as long as it says so.
+    pub(super) fn report(&mut self, cold: bool) {
+        if cold && self.state != State::Cold {
+            self.chill();
+        }
+        self.reported = Some(cold);
+    }
+
     /// Counts a completed request that was dispatched in `epoch`; doubles after a full limit's worth.
     pub(super) fn complete(&mut self, epoch: u64) {
-        if epoch != self.epoch || self.state == State::Warm {
+        let settled = self.state == State::Warm || self.reported == Some(true);
+        if epoch != self.epoch || settled {
             return;
         }
         self.completed += 1;
--- a/src/target/scheduler.rs
+++ b/src/target/scheduler.rs
@@ -246,6 +246,11 @@
         Ok(())
     }
 
+    /// Takes the target's own word whether it is cold, as it stands on a reply.
+    pub fn report(&mut self, cold: bool, _now: Duration) {
+        self.ramp.report(cold);
+    }
+
     /// Ends a gang's hold.
     pub fn release(&mut self, request: AttemptId) {
         self.holds.retain(|hold| hold.0 != request);
--- a/standin/src/service.rs
+++ b/standin/src/service.rs
@@ -155,7 +155,7 @@
             }
             _ => unknown(&ask).into(),
         };
-        response.insert_header("x-boot", self.lock().warmth.boot.to_string());
+        self.lock().warmth.describe(&mut response);
         response
     }
 }
--- a/tests/drive/mod.rs
+++ b/tests/drive/mod.rs
@@ -15,6 +15,7 @@
 
 pub fn item(request: u64, prompt: u64, deadline: f64) -> Item {
     Item {
+        held: false,
         deadline: at(deadline),
         max_tokens: 10,
         prefix: Vec::new(),
