Pass over a redundant closure and fill in a new field

Cause: the lint run failed on both. Change: the closure is replaced by its function; the example sets held. Result: lint is clean.

--- a/examples/queue_cost.rs
+++ b/examples/queue_cost.rs
@@ -10,6 +10,7 @@
 fn item(request: u64, workspaces: u64) -> Item {
     let prompt = [1_000, 4_000, 20_000, 100_000][request as usize % 4];
     Item {
+        held: false,
         deadline: Duration::from_secs(1_000_000 + request * 7 % 900),
         max_tokens: 100,
         prefix: (0..prompt / 256)
--- a/src/daemon/long.rs
+++ b/src/daemon/long.rs
@@ -89,7 +89,7 @@
         let possible = plan(
             prompt,
             max_tokens,
-            &offers(&candidates, |candidate| capacity(candidate)),
+            &offers(&candidates, capacity),
         );
         if possible.is_none() {
             state.metrics.gang("refused");
