--- a/model/src/ownership.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! Specification of the ownership protocol.
--- a/src/owner/mod.rs
+++ b/src/owner/mod.rs
@@ -27,6 +27,7 @@
 pub use holding::Holding;
 pub use release::Release;
 pub use settings::Settings;
+pub use table::candidate;
 pub use table::Table;
 
 use entry::Entry;
--- a/src/owner/peer.rs
+++ b/src/owner/peer.rs
@@ -74,6 +74,16 @@
         true
     }
 
+    /// Takes a request of an owner that has not been heard yet as its first heartbeat.
+    pub(super) fn introduce(&mut self, incarnation: Incarnation, now: Duration) {
+        if self.heard.is_some() {
+            return;
+        }
+        self.heard = Some(now);
+        self.incarnation = incarnation;
+        self.settled = true;
+    }
+
     /// Whether the last heartbeat is younger than `window`.
     pub(super) fn heard_within(&self, window: Duration, now: Duration) -> bool {
         self.heard.is_some_and(|at| now.saturating_sub(at) < window)
--- a/src/owner/table.rs
+++ b/src/owner/table.rs
@@ -62,6 +62,7 @@
         now: Duration,
     ) -> (Grant, Vec<Action>) {
         let mut actions = self.advance(now);
+        self.introduce(message, now);
         let mut targets = Vec::new();
         for ask in &message.targets {
             if !self.grants(message, ask, now) {
@@ -462,6 +463,18 @@
         })
     }
 
+    /// In quarantine, accepts owners that have not been heard yet: they need this grant before the end of the
+    /// quarantine, and this instance owns nothing that their appearance could stop.
+    fn introduce(&mut self, message: &Acquire, now: Duration) {
+        let registers = message.targets.iter().any(|ask| ask.owned);
+        if !registers || self.settled(now) || message.from == self.me {
+            return;
+        }
+        self.peer_mut(&message.from)
+            .introduce(message.incarnation, now);
+        self.refresh(now);
+    }
+
     fn live_peers(&self, now: Duration) -> impl Iterator<Item = &Peer> {
         let lease = self.settings.lease;
         self.peers
@@ -585,7 +598,7 @@
 }
 
 /// The instance of `view` with the highest rendezvous hash for `target`.
-fn candidate(target: &TargetId, view: &[InstanceId]) -> Option<InstanceId> {
+pub fn candidate(target: &TargetId, view: &[InstanceId]) -> Option<InstanceId> {
     let seed = xxh3_64_with_seed(target.as_bytes(), 0);
     view.iter()
         .max_by_key(|id| xxh3_64_with_seed(id.as_bytes(), seed))
