--- a/src/owner/table.rs
+++ b/src/owner/table.rs
@@ -62,6 +62,7 @@
         now: Duration,
     ) -> (Grant, Vec<Action>) {
         let mut actions = self.advance(now);
+        self.introduce(message, now);
         let mut targets = Vec::new();
         for ask in &message.targets {
             if !self.grants(message, ask, now) {
@@ -462,6 +463,18 @@
         })
     }
 
+    /// In quarantine, accepts owners that have not been heard yet: they need this grant before the end of the
+    /// quarantine, and this instance owns nothing that their appearance could stop.
+    fn introduce(&mut self, message: &Acquire, now: Duration) {
+        let registers = message.targets.iter().any(|ask| ask.owned);
+        if !registers || self.settled(now) || message.from == self.me {
+            return;
+        }
+        self.peer_mut(&message.from)
+            .introduce(message.incarnation, now);
+        self.refresh(now);
+    }
+
     fn live_peers(&self, now: Duration) -> impl Iterator<Item = &Peer> {
         let lease = self.settings.lease;
         self.peers
