--- a/src/daemon/long.rs
+++ b/src/daemon/long.rs
@@ -86,11 +86,7 @@
     let prompt = tokens(text.len());
     loop {
         let candidates = pool()?;
-        let possible = plan(
-            prompt,
-            max_tokens,
-            &offers(&candidates, capacity),
-        );
+        let possible = plan(prompt, max_tokens, &offers(&candidates, capacity));
         if possible.is_none() {
             state.metrics.gang("refused");
             let message = "the prompt is larger than all engines of a domain together";
