Count long prompts between two pieces in admission; add notes

Cause: admission left out the rest of a long prompt while a piece of it was at the engine, although it becomes more urgent than short prompts while these wait. Change: admission counts what will be urgent before the request's deadline, up to what the reserve leaves, and takes 1.25 times the predicted wait. `Outlier::ejected_among` counts ejections within a pool. `Scheduler::deadline` and `Scheduler::in_flight` for the daemon.

--- a/src/retry/outlier.rs
+++ b/src/retry/outlier.rs
@@ -68,19 +68,22 @@
     }
 
     /// Whether `target` is ejected from a pool of `pool` targets. At most the settings' share of the pool is, and
-    /// never all of it; those ejected first stay ejected.
+    /// never all of it; those ejected first stay ejected. Targets of other pools count too, because only the size of
+    /// the pool is known; [`Outlier::ejected_among`] is exact.
     pub fn ejected(&self, target: &TargetId, pool: usize, now: Duration) -> bool {
-        let Ok(at) = self.find(target) else {
-            return false;
-        };
-        let trouble = &self.targets[at];
-        if trouble.until <= now {
-            return false;
-        }
-        let earlier = |other: &&Trouble| {
-            other.until > now && (other.since, &other.target) < (trouble.since, &trouble.target)
-        };
-        self.targets.iter().filter(earlier).count() < self.allowed(pool)
+        let mut ejected = self.in_force(now);
+        ejected.truncate(self.allowed(pool));
+        ejected.iter().any(|trouble| trouble.target == *target)
+    }
+
+    /// The targets of `pool` that are ejected, those ejected first first; never more than the settings' share.
+    pub fn ejected_among(&self, pool: &[TargetId], now: Duration) -> Vec<TargetId> {
+        self.in_force(now)
+            .into_iter()
+            .filter(|trouble| pool.contains(&trouble.target))
+            .take(self.allowed(pool.len()))
+            .map(|trouble| trouble.target.clone())
+            .collect()
     }
 
     fn allowed(&self, pool: usize) -> usize {
@@ -106,6 +109,17 @@
         trouble.until = now + settings.base.saturating_mul(factor).min(settings.longest);
     }
 
+    /// Ejections that are not over, in the order of their start.
+    fn in_force(&self, now: Duration) -> Vec<&Trouble> {
+        let mut ejected: Vec<&Trouble> = self
+            .targets
+            .iter()
+            .filter(|trouble| trouble.until > now)
+            .collect();
+        ejected.sort_by(|a, b| (a.since, &a.target).cmp(&(b.since, &b.target)));
+        ejected
+    }
+
     fn find(&self, target: &TargetId) -> Result<usize, usize> {
         self.targets
             .binary_search_by(|trouble| trouble.target.cmp(target))
--- a/src/route/mod.rs
+++ b/src/route/mod.rs
@@ -1,4 +1,7 @@
 //! Choice of the target that gets a request.
+//!
+//! Every policy chooses among the same targets: those that may take the request, of the own domain first. A load is the
+//! last known one and may be late; the target's owner, which has the queue, decides in the end.
 
 mod affinity;
 mod ask;
--- a/src/target/admission.rs
+++ b/src/target/admission.rs
@@ -24,6 +24,8 @@
 }
 
 impl Scheduler {
+    /// Factor on predicted waits: requests that arrive later and have less slack go first.
+    const MARGIN: f64 = 1.25;
     /// Bounds of a retry-after.
     const RETRY_MAX: Duration = Duration::from_secs(60);
     const RETRY_MIN: Duration = Duration::from_millis(100);
@@ -42,7 +44,8 @@
         if self.is_full_for(entry.share) {
             return Err(refuse(Kind::Overloaded, retry(self.backlog(now))));
         }
-        let finish = now + self.wait(entry, now) + self.service(entry);
+        let wait = self.wait(entry, now).mul_f64(Scheduler::MARGIN);
+        let finish = now + wait + self.service(entry);
         if finish <= entry.item.deadline {
             return Ok(());
         }
@@ -156,41 +159,71 @@
     fn ahead(&self, entry: &Entry) -> Work {
         let mut all = vec![Work::default(); self.shares.len() + 1];
         let mut first = all.clone();
+        let mut aged = Work::default();
         let own = entry.share.min(self.shares.len());
         for other in &self.waiting {
             let work = self.work(other);
-            all[other.share].add(work, 1.0);
             if other.order() < entry.order() {
                 first[other.share].add(work, 1.0);
+            } else if self.will_age(other, entry) {
+                aged.add(work, 1.0);
+                continue;
             }
+            all[other.share].add(work, 1.0);
         }
-        let mut sum = first[own];
-        if !self.settings.slack {
-            first
-                .iter()
-                .enumerate()
-                .filter(|(share, _)| *share != own)
-                .for_each(|(_, work)| sum.add(*work, 1.0));
-            return sum;
+        for flight in self.flying.iter().filter(|flight| !flight.last) {
+            if self.will_age(&flight.entry, entry) {
+                aged.add(self.work_after(&flight.entry, flight.to), 1.0);
+            }
         }
+        let mut sum = first[own];
+        let window = self.settings.prefill_limit as f64;
+        let weight = f64::from(entry.item.weight.max(1));
         let tokens = sum.tokens + self.work(entry).tokens;
         for (share, work) in all.iter().enumerate() {
             if share == own || work.tokens <= 0.0 {
                 continue;
             }
-            let fair = tokens * self.shares.get(share).weight / f64::from(entry.item.weight.max(1));
-            let window = fair + self.settings.prefill_limit as f64;
-            let tokens = work.tokens.min(fair.max(first[share].tokens.min(window)));
+            if !self.settings.slack {
+                sum.add(first[share], 1.0);
+                continue;
+            }
+            let fair = tokens * self.shares.get(share).weight / weight;
+            let tokens = work
+                .tokens
+                .min(fair.max(first[share].tokens.min(fair + window)));
             sum.add(*work, tokens / work.tokens);
         }
+        let tokens = sum.tokens + self.work(entry).tokens;
+        sum.add(
+            aged,
+            self.passing(tokens) / aged.tokens.max(self.passing(tokens)).max(1.0),
+        );
         sum
     }
 
+    /// Tokens of aged longer prompts that go between `tokens` tokens of short ones.
+    fn passing(&self, tokens: f64) -> f64 {
+        let reserved = self.settings.reserve_share.clamp(0.01, 1.0);
+        tokens * (1.0 - reserved) / reserved
+    }
+
+    /// Whether `other` has more slack now, but is aged and takes all but the reserve before `entry` has to end.
+    fn will_age(&self, other: &Entry, entry: &Entry) -> bool {
+        self.settings.slack && !other.is_short() && other.aged < entry.item.deadline
+    }
+
     fn work(&self, entry: &Entry) -> Work {
+        self.work_after(entry, entry.done.max(entry.cached))
+    }
+
+    /// Work of a request that is prefilled up to `done`.
+    fn work_after(&self, entry: &Entry, done: Tokens) -> Work {
+        let rest = entry.item.prompt.saturating_sub(done);
         Work {
             requests: 1.0,
-            service: self.service_of(entry.rest(), entry.item.max_tokens),
-            tokens: entry.rest() as f64,
+            service: self.service_of(rest, entry.item.max_tokens),
+            tokens: rest as f64,
         }
     }
 }
--- a/src/target/scheduler.rs
+++ b/src/target/scheduler.rs
@@ -251,6 +251,16 @@
         self.holds.retain(|hold| hold.0 != request);
     }
 
+    /// Earliest deadline in the queue, when [`Scheduler::expire`] has something to remove.
+    pub fn deadline(&self) -> Option<Duration> {
+        self.waiting.iter().map(|entry| entry.item.deadline).min()
+    }
+
+    /// Requests at the engine, in the order of their ids.
+    pub fn in_flight(&self) -> Vec<AttemptId> {
+        self.flying.iter().map(Flight::request).collect()
+    }
+
     /// What routing sees.
     pub fn load(&self, now: Duration) -> Load {
         let bounds = self.bounds();
