--- a/src/daemon/candidates.rs
+++ b/src/daemon/candidates.rs
@@ -2,7 +2,7 @@
 
 use super::state::{lock, State};
 use crate::error::{Error, Kind};
-use crate::id::Tokens;
+use crate::id::{TargetId, Tokens};
 use crate::platform::{Member, Role};
 use crate::record::Fold;
 use crate::route::Candidate;
@@ -61,12 +61,13 @@
     let now = state.clock.now();
     let fold = state.fold();
     let settings = state.settings.queue.target();
-    let outlier = lock(&state.outlier);
+    let pool: Vec<TargetId> = members.iter().map(|member| member.id.clone()).collect();
+    let ejected = lock(&state.outlier).ejected_among(&pool, now);
     members
         .iter()
         .map(|member| Candidate {
             domain: member.domain.clone(),
-            ejected: outlier.ejected(&member.id, members.len(), now),
+            ejected: ejected.contains(&member.id),
             load: load(state, member),
             memory: settings.capacity(class, memory(&fold, member).unwrap_or(settings.memory)),
             target: member.id.clone(),
--- a/src/daemon/state.rs
+++ b/src/daemon/state.rs
@@ -303,14 +303,16 @@
 
     /// The likely owner in another domain; it forwards the work if its own view differs.
     fn remote_owner(&self, target: &TargetId, domain: &str) -> Option<InstanceId> {
-        let now = self.clock.now();
-        let pool = self.entries(domain);
-        let outlier = lock(&self.outlier);
-        let usable: Vec<InstanceId> = pool
-            .iter()
+        let pool: Vec<InstanceId> = self
+            .entries(domain)
+            .into_iter()
             .filter(|member| member.state == platform::State::Live)
-            .filter(|member| !outlier.ejected(&member.id, pool.len(), now))
-            .map(|member| member.id.clone())
+            .map(|member| member.id)
+            .collect();
+        let ejected = lock(&self.outlier).ejected_among(&pool, self.clock.now());
+        let usable: Vec<InstanceId> = pool
+            .into_iter()
+            .filter(|instance| !ejected.contains(instance))
             .collect();
         owner::candidate(target, &usable)
     }
