--- a/src/command/mod.rs
+++ b/src/command/mod.rs
@@ -4,6 +4,7 @@
 mod change;
 mod check;
 mod connection;
+mod demo;
 mod error;
 mod exit;
 mod folder;
--- a/src/command/table.rs
+++ b/src/command/table.rs
@@ -1,4 +1,4 @@
-use super::{apply, check, plan, show, status, timeline, Error};
+use super::{apply, check, demo, plan, show, status, timeline, Error};
 
 /// One subcommand.
 #[derive(Debug)]
@@ -27,6 +27,12 @@
         run: check::run,
         summary: "check records or daemon settings without a network",
     },
+    Command {
+        help: demo::HELP,
+        name: "demo",
+        run: demo::run,
+        summary: "run a small fleet in one process and show what it does",
+    },
     Command {
         help: plan::HELP,
         name: "plan",
--- a/src/daemon/serve/engine.rs
+++ b/src/daemon/serve/engine.rs
@@ -53,10 +53,9 @@
         .complete(connection, completion)
         .await
         .map_err(|error| lost(target, &error))?;
-    if let Some(boot) = stream.boot {
-        let slot = state.slot(target);
-        slot.update(state, |scheduler, now| scheduler.boot(boot, now));
-    }
+    state
+        .slot(target)
+        .set_warmth(state, stream.boot, stream.cold);
     if stream.status != 200 {
         ticket.returned();
     }
--- a/src/daemon/serve/run.rs
+++ b/src/daemon/serve/run.rs
@@ -109,7 +109,8 @@
         handle: chunked.then(|| format!("{:016x}", run.attempt)),
         max_tokens: if dispatch.last { run.max_tokens } else { 0 },
         model: run.model.clone(),
-        priority: dispatch.priority,
+        // Engines take the lowest number first.
+        priority: -dispatch.priority,
         prompt: piece(&run.prompt, dispatch).to_owned(),
         stream: true,
     }
--- a/src/daemon/task/reap.rs
+++ b/src/daemon/task/reap.rs
@@ -87,6 +87,7 @@
         .sum();
     slot.update(state, |scheduler, now| {
         scheduler.boot(streams.boot, now);
+        scheduler.report(streams.cold, now);
         scheduler.foreign(count, memory + held, now);
     });
 }
--- a/standin/src/engine/core.rs
+++ b/standin/src/engine/core.rs
@@ -44,7 +44,7 @@
             _ => Ok(self.serve(&ask, &peer).await),
         };
         let mut response = response.unwrap_or_else(Response::from);
-        response.insert_header("x-boot", self.lock().warmth.boot.to_string());
+        self.lock().warmth.describe(&mut response);
         response
     }
 }
--- a/standin/src/host.rs
+++ b/standin/src/host.rs
@@ -68,7 +68,7 @@
     while let Ok(outage) = outages.recv().await {
         Timer::after(outage.delay).await;
         tracing::info!(%address, length_ms = outage.length.as_millis(), "outage");
-        drop(server);
+        server.stop().await;
         Timer::after(outage.length).await;
         server = loop {
             match bind(address, &handler).await {
--- a/standin/src/warmth.rs
+++ b/standin/src/warmth.rs
@@ -1,5 +1,6 @@
 //! Boot number and cold state of a target.
 
+use jujubehook_http::http_types::Response;
 use serde::Serialize;
 
 use crate::clock::unix_ms;
@@ -64,6 +65,12 @@
         }
     }
 
+    /// Puts the boot number and the cold state on a reply.
+    pub(crate) fn describe(&self, response: &mut Response) {
+        response.insert_header("x-boot", self.boot.to_string());
+        response.insert_header("x-cold", u8::from(self.cold).to_string());
+    }
+
     /// Records that `running` requests are open. Returns true if the target crashes under them.
     pub(crate) fn load(&mut self, running: usize) -> bool {
         if !self.cold {
--- a/tests/slack_order.rs
+++ b/tests/slack_order.rs
@@ -31,7 +31,7 @@
     offer(&mut scheduler, &items);
     assert_eq!(sent(&mut scheduler, T0), [1]);
     scheduler.first_token(1, T0);
-    assert_eq!(sent(&mut scheduler, T0), []);
+    assert_eq!(sent(&mut scheduler, T0), Vec::<u64>::new());
     complete(&mut scheduler, &[1]);
     assert_eq!(order(&mut scheduler), [2, 3]);
 }
