--- a/src/command/check/mod.rs
+++ b/src/command/check/mod.rs
@@ -1,17 +1,20 @@
-use std::path::Path;
+mod settings;
+
+use std::path::{Path, PathBuf};
 
 use serde_json::json;
 
-use super::options::{single, Options};
+use super::options::{none, single, Options};
 use super::{change, folder, output, Error};
 use crate::record::Fold;
 
 /// Text of `jujubehook check --help`.
 pub(super) const HELP: &str = "\
 Usage: jujubehook check [--json] FOLDER
+       jujubehook check [--json] --settings FILE
 
-Checks the records in all `.toml` files of a folder without a network. Each
-fault names file, line and key.
+Checks the records in all `.toml` files of a folder, or the settings of a
+daemon, without a network. Each fault names file, line and key.
 
 A file holds one record:
 
@@ -24,20 +27,33 @@
 or several, each as a `[[record]]` table with the same keys.
 
 Options:
-  --json  print {\"faults\":[..],\"records\":N}
+  --json           print {\"faults\":[..],\"records\":N}
+  --settings FILE  check daemon settings
 
 Examples:
   jujubehook check records
   jujubehook check --json records
+  jujubehook check --settings examples/jujubehookd.toml
 
-Exit codes: 0 all valid, 1 unreadable folder, 2 bad usage,
+Exit codes: 0 all valid, 1 unreadable folder or bad settings, 2 bad usage,
 3 a record is not valid
 ";
 
 /// Runs `jujubehook check`.
 pub(super) fn run(parser: &mut lexopt::Parser) -> Result<(), Error> {
-    let (options, values) = Options::offline(parser, &mut |_, _| Ok(false))?;
-    check_folder(&single(values, "FOLDER")?, options.json)
+    let mut file: Option<PathBuf> = None;
+    let (options, values) = Options::offline(parser, &mut |name, parser| {
+        if name != "settings" {
+            return Ok(false);
+        }
+        file = Some(parser.value()?.into());
+        Ok(true)
+    })?;
+    let Some(file) = file else {
+        return check_folder(&single(values, "FOLDER")?, options.json);
+    };
+    none(&values)?;
+    settings::check(&file, options.json)
 }
 
 fn check_folder(path: &Path, json: bool) -> Result<(), Error> {
--- a/tests/record_check.rs
+++ b/tests/record_check.rs
@@ -104,3 +104,34 @@
         "{text}"
     );
 }
+
+#[test]
+fn daemon_settings() {
+    let example = include_str!("../examples/jujubehookd.toml");
+    let cases = [
+        (example.to_owned(), 0, "is valid"),
+        (
+            example.replace("domain = \"north\"", "domain = \"\""),
+            1,
+            "`domain`",
+        ),
+        (
+            example.replace("domain =", "zone ="),
+            1,
+            "line 7: unknown field `zone`",
+        ),
+    ];
+    for (text, expected, message) in cases {
+        let file = tempfile::NamedTempFile::new().unwrap();
+        fs::write(file.path(), text).unwrap();
+        let mut command = Command::cargo_bin("jujubehook").unwrap();
+        let output = command
+            .args(["check", "--settings"])
+            .arg(file.path())
+            .output()
+            .unwrap();
+        let text = String::from_utf8([output.stdout, output.stderr].concat()).unwrap();
+        assert_eq!(output.status.code(), Some(expected), "{text}");
+        assert!(text.contains(message), "{text}");
+    }
+}
