Elect a controller per domain and order engines by target records

Cause: the controller lease and the orders were decided in src/order but nothing in the daemon ran them. Change: target records can name a model, version and role to load (both schemas); each instance follows the control stream of its domain, claims or renews the lease and, while it holds it, reads and orders engines; lease and delay are settings; status names the controller.

--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -91,6 +91,11 @@
         self.server.address()
     }
 
+    /// Whether this instance is the controller of its domain by what it has read of the log.
+    pub fn is_controller(&self) -> bool {
+        self.state.is_controller()
+    }
+
     /// Whether callers should be sent to this instance.
     pub fn is_ready(&self) -> bool {
         self.state.is_ready()
@@ -140,6 +145,7 @@
         smol::spawn(task::beat::send(state.clone(), socket.clone())),
         smol::spawn(task::beat::receive(state.clone(), socket)),
         smol::spawn(task::beat::tick(state.clone())),
+        smol::spawn(task::control::run(state.clone())),
         smol::spawn(task::follow::run(state.clone())),
         smol::spawn(task::follow::catch_up(state.clone())),
         smol::spawn(task::list::run(state.clone())),
--- a/src/daemon/state.rs
+++ b/src/daemon/state.rs
@@ -43,6 +43,7 @@
     pub(crate) source: Source,
     active: AtomicUsize,
     alarm: Mutex<Option<String>>,
+    controller: AtomicBool,
     fold: RwLock<Arc<Fold>>,
     leaving: AtomicBool,
     listing: RwLock<Arc<Listing>>,
@@ -82,6 +83,7 @@
         Ok(Self {
             active: AtomicUsize::new(0),
             alarm: Mutex::default(),
+            controller: AtomicBool::new(false),
             budget: Mutex::new(Budget::new(RETRY_SHARE, RETRY_BURST)),
             claims: Claims::new(&settings.instance, incarnation),
             client: Client::default(),
@@ -137,6 +139,10 @@
         *lock(&self.alarm) = alarm;
     }
 
+    pub(crate) fn set_controller(&self, controller: bool) {
+        self.controller.store(controller, Ordering::Release);
+    }
+
     pub(crate) fn set_listing(&self, listing: Listing) {
         *self.listing.write().unwrap_or_else(PoisonError::into_inner) = Arc::new(listing);
     }
@@ -187,6 +193,10 @@
             .clone()
     }
 
+    pub(crate) fn is_controller(&self) -> bool {
+        self.controller.load(Ordering::Acquire)
+    }
+
     pub(crate) fn is_leaving(&self) -> bool {
         self.leaving.load(Ordering::Acquire)
     }
--- a/src/daemon/status.rs
+++ b/src/daemon/status.rs
@@ -7,6 +7,7 @@
 #[derive(Debug, Serialize)]
 pub(super) struct Status {
     alarms: Vec<String>,
+    controller: bool,
     domain: DomainId,
     in_service: bool,
     incarnation: String,
@@ -42,6 +43,7 @@
     let peers = lock(&state.owner).live(now);
     Status {
         alarms: state.alarm().into_iter().collect(),
+        controller: state.is_controller(),
         domain: state.settings.domain.clone(),
         in_service: fold.domain_in_service(&state.settings.domain),
         incarnation: format!("{:016x}", state.incarnation),
--- /dev/null
+++ b/src/daemon/task/control.rs
@@ -0,0 +1,220 @@
+use std::sync::{Arc, Mutex, Weak};
+use std::time::Duration;
+
+use jujubehook_http::within;
+use smol::{Task, Timer};
+
+use crate::daemon::state::{lock, State};
+use crate::event;
+use crate::id::{Fence, TargetId};
+use crate::order::{Action, Controller, Lease, Load, Plan, Settings};
+use crate::platform::{Engine, Log, Role, Settings as LogSettings};
+
+/// Time between two ticks of the controller.
+const TICK: Duration = Duration::from_millis(100);
+
+/// Time for which a read waits for new entries.
+const POLL: Duration = Duration::from_secs(10);
+
+/// Pause after a failed read.
+const PAUSE: Duration = Duration::from_millis(250);
+
+/// Entries read at a time.
+const PAGE: usize = 256;
+
+/// Takes part in the election of the domain's controller and, while elected, gives orders to engines.
+///
+/// Nothing is read or appended as long as no target record asks for a load.
+pub(crate) async fn run(state: Arc<State>) {
+    let settings = settings(&state);
+    let controller = Arc::new(Mutex::new(Controller::new(
+        state.settings.instance.clone(),
+        state.incarnation,
+        settings.clone(),
+        state.clock.now(),
+    )));
+    let log = Arc::new(Log::new(state.settings.network.log, LogSettings::default()));
+    let stream = format!("control-{}", state.settings.domain);
+    let mut reader: Option<Task<()>> = None;
+    let mut fence = None;
+    loop {
+        Timer::after(TICK).await;
+        let plans = plans(&state);
+        if plans.is_empty() && reader.is_none() {
+            continue;
+        }
+        if reader.is_none() {
+            let weak = Arc::downgrade(&state);
+            let follow = follow(weak, controller.clone(), log.clone(), stream.clone());
+            reader = Some(smol::spawn(follow));
+        }
+        let (now, unix) = (state.clock.now(), state.clock.unix_ms());
+        let actions = {
+            let mut controller = lock(&controller);
+            controller.set_plans(plans);
+            let actions = controller.tick(now, unix);
+            announce(&state, &mut fence, controller.fence());
+            actions
+        };
+        for action in actions {
+            act(&state, &controller, &log, &stream, &settings, action);
+        }
+    }
+}
+
+fn settings(state: &State) -> Settings {
+    let network = &state.settings.network;
+    let default = Settings::default();
+    Settings {
+        delay: network.controller_delay,
+        lease: network.controller_lease,
+        margin: default.margin.min(network.controller_lease / 10),
+        pause: network.pause.min(network.controller_lease / 4),
+        ..default
+    }
+}
+
+/// What the records in force ask the controller of this domain to load.
+fn plans(state: &State) -> Vec<Plan> {
+    let fold = state.fold();
+    let listing = state.listing();
+    let mut plans = Vec::new();
+    for member in &listing.instances {
+        if member.role != Role::Engine || member.domain != state.settings.domain {
+            continue;
+        }
+        let Some(record) = fold.target(&member.id) else {
+            continue;
+        };
+        if let Some(load) = &record.load {
+            plans.push(Plan {
+                checks_fencing: record.checks_fencing,
+                load: load.clone(),
+                target: member.id.clone(),
+            });
+        }
+    }
+    plans
+}
+
+fn announce(state: &State, before: &mut Option<Fence>, fence: Option<Fence>) {
+    if *before == fence {
+        return;
+    }
+    *before = fence;
+    state.set_controller(fence.is_some());
+    match fence {
+        Some(fence) => event!(state.source, "controller_elected", fence = fence),
+        None => event!(state.source, "controller_ended"),
+    }
+}
+
+async fn follow(
+    state: Weak<State>,
+    controller: Arc<Mutex<Controller>>,
+    log: Arc<Log>,
+    stream: String,
+) {
+    let mut next = 1;
+    loop {
+        let page = log.read(&stream, next, PAGE, POLL).await;
+        let Some(state) = state.upgrade() else {
+            return;
+        };
+        let Ok(page) = page else {
+            drop(state);
+            Timer::after(PAUSE).await;
+            continue;
+        };
+        for entry in &page.entries {
+            // Every instance passes over an entry that is no lease, so that all agree on the holder.
+            if let Ok(lease) = serde_json::from_str::<Lease>(&entry.body) {
+                lock(&controller).apply(entry.offset, &lease, state.clock.now());
+            }
+        }
+        next = page.next.max(page.first);
+    }
+}
+
+fn act(
+    state: &Arc<State>,
+    controller: &Arc<Mutex<Controller>>,
+    log: &Arc<Log>,
+    stream: &str,
+    settings: &Settings,
+    action: Action,
+) {
+    match action {
+        Action::Append { lease } => {
+            let (log, stream) = (log.clone(), stream.to_owned());
+            smol::spawn(async move {
+                if let Ok(entry) = serde_json::to_string(&lease) {
+                    // A claim or renewal that fails is repeated by a later tick.
+                    let _ = log.append(&stream, &entry).await;
+                }
+            })
+            .detach();
+        }
+        Action::Order {
+            fence,
+            load,
+            target,
+        } => {
+            let (state, controller) = (state.clone(), controller.clone());
+            let limit = settings.delay;
+            smol::spawn(async move {
+                order(&state, &controller, fence, &load, &target, limit).await;
+            })
+            .detach();
+        }
+        Action::Read { target } => {
+            let (state, controller) = (state.clone(), controller.clone());
+            smol::spawn(async move { observe(&state, &controller, &target).await }).detach();
+        }
+    }
+}
+
+async fn order(
+    state: &Arc<State>,
+    controller: &Mutex<Controller>,
+    fence: Fence,
+    load: &Load,
+    target: &TargetId,
+    limit: Duration,
+) {
+    let checks = state
+        .fold()
+        .target(target)
+        .is_some_and(|record| record.checks_fencing);
+    let Ok(address) = state.address(target) else {
+        return;
+    };
+    if !lock(controller).may_order(checks, state.clock.now()) {
+        return;
+    }
+    let engine = Engine::new(&state.client, address);
+    let outcome = within(limit, engine.order(fence, load)).await;
+    event!(
+        state.source,
+        "target_ordered",
+        target = target.as_str(),
+        fence = fence,
+        model = load.model.as_str(),
+        version = load.version.as_str(),
+        outcome = if outcome.is_ok() { "ok" } else { "failed" },
+        reason = outcome
+            .err()
+            .map(|error| error.to_string())
+            .unwrap_or_default()
+    );
+}
+
+async fn observe(state: &Arc<State>, controller: &Mutex<Controller>, target: &TargetId) {
+    let Ok(address) = state.address(target) else {
+        return;
+    };
+    let engine = Engine::new(&state.client, address);
+    if let Ok(loaded) = engine.loaded().await {
+        lock(controller).observe(target, loaded, state.clock.now());
+    }
+}
--- a/src/load/fleet.rs
+++ b/src/load/fleet.rs
@@ -153,6 +153,21 @@
             .await
     }
 
+    /// Stops an instance at once, as a crash does. The instance list is not told.
+    ///
+    /// # Panics
+    /// Panics if there is no instance `index`.
+    pub fn kill(&mut self, index: usize) -> InstanceId {
+        self.daemons.remove(index).0
+    }
+
+    /// Position of the first instance that is the controller of its domain.
+    pub fn controller(&self) -> Option<usize> {
+        self.daemons
+            .iter()
+            .position(|(.., daemon)| daemon.is_controller())
+    }
+
     /// Addresses of the instances, in order of domain.
     pub fn entries(&self) -> Vec<SocketAddr> {
         self.daemons
--- a/src/order/load.rs
+++ b/src/order/load.rs
@@ -4,6 +4,7 @@
 
 /// What a target has loaded or is to load.
 #[derive(Clone, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
 pub struct Load {
     /// The model.
     pub model: ModelId,
--- a/src/platform/engine.rs
+++ b/src/platform/engine.rs
@@ -7,7 +7,8 @@
 
 use super::warmth::{boot, cold};
 
-use crate::id::{AttemptId, Tokens};
+use crate::id::{AttemptId, Fence, ModelId, Tokens};
+use crate::order::Load;
 
 /// Longest time for a short call to an engine.
 const CALL_TIMEOUT: Duration = Duration::from_secs(2);
@@ -81,6 +82,20 @@
     pub status: u16,
 }
 
+#[derive(Deserialize)]
+struct Loaded {
+    model: ModelId,
+    role: Option<String>,
+    version: String,
+}
+
+#[derive(Serialize)]
+struct Order<'a> {
+    fence: Fence,
+    #[serde(flatten)]
+    load: &'a Load,
+}
+
 /// What runs and what is held on an engine.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq)]
 pub struct Streams {
@@ -173,6 +188,41 @@
             .map(|_| ())
     }
 
+    /// Reads what is loaded.
+    ///
+    /// # Errors
+    /// Fails if the engine does not answer in time.
+    pub async fn loaded(&self) -> Result<Option<Load>, Error> {
+        let bytes = self.call(Method::Get, "/v1/orders", None).await?;
+        let loaded: Option<Loaded> = serde_json::from_slice(&bytes)?;
+        Ok(loaded.map(|loaded| Load {
+            model: loaded.model,
+            role: loaded.role,
+            version: loaded.version,
+        }))
+    }
+
+    /// Orders the engine to load a model and to take a role. The caller bounds the wait.
+    ///
+    /// # Errors
+    /// Fails if the engine does not answer, or refuses the order, for example because of an old fencing number.
+    pub async fn order(&self, fence: Fence, load: &Load) -> Result<(), Error> {
+        let mut request = self.request(Method::Post, "/v1/orders")?;
+        let order = Order { fence, load };
+        request.set_body(serde_json::to_vec(&order)?);
+        let call = self
+            .client
+            .fetch(self.address, request, Reuse::Never, CALL_LIMIT);
+        let (response, _) = call.await?;
+        if response.status().is_success() {
+            return Ok(());
+        }
+        Err(Error::Exchange(format!(
+            "the order was answered with status {}",
+            response.status()
+        )))
+    }
+
     /// Continues a stream after a lost connection, from token `from` of the attempt.
     ///
     /// # Errors
--- a/src/record/check.rs
+++ b/src/record/check.rs
@@ -115,6 +115,11 @@
     if let Some(memory) = body.memory {
         range("memory", memory, 1..=MAX_MEMORY)?;
     }
+    if let Some(load) = &body.load {
+        name("model", &load.model)?;
+        name("version", &load.version)?;
+        load.role.iter().try_for_each(|role| name("role", role))?;
+    }
     Ok(())
 }
 
--- a/src/record/target.rs
+++ b/src/record/target.rs
@@ -1,4 +1,5 @@
 use crate::id::{TargetId, Tokens};
+use crate::order::Load;
 
 /// Properties of a target.
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
@@ -9,6 +10,8 @@
     pub cold_limit: Option<u32>,
     /// Whether the target is leaving and gets no new work.
     pub leaving: bool,
+    /// What the controller orders the target to load, if anything.
+    pub load: Option<Load>,
     /// Memory in tokens, if known.
     pub memory: Option<Tokens>,
     /// Name of the target.
--- a/src/record/v1.rs
+++ b/src/record/v1.rs
@@ -2,7 +2,8 @@
 
 use serde::Deserialize;
 
-use crate::id::Tokens;
+use crate::id::{ModelId, Tokens};
+use crate::order::Load;
 
 use super::{Body, Grant};
 
@@ -20,16 +21,30 @@
     once: Vec<String>,
 }
 
-/// `{"checks_fencing"?,"cold_limit"?,"leaving"?,"memory"?}`
+/// `{"checks_fencing"?,"cold_limit"?,"leaving"?,"memory"?,"model"?,"role"?,"version"?}`; `model` and `version` go
+/// together, `role` needs them.
 #[derive(Deserialize)]
-#[serde(deny_unknown_fields)]
+#[serde(try_from = "FlatTarget")]
 pub(super) struct Target {
+    checks_fencing: bool,
+    cold_limit: Option<u32>,
+    leaving: bool,
+    load: Option<Load>,
+    memory: Option<Tokens>,
+}
+
+#[derive(Deserialize)]
+#[serde(deny_unknown_fields)]
+struct FlatTarget {
     #[serde(default)]
     checks_fencing: bool,
     cold_limit: Option<u32>,
     #[serde(default)]
     leaving: bool,
     memory: Option<Tokens>,
+    model: Option<ModelId>,
+    role: Option<String>,
+    version: Option<String>,
 }
 
 /// `{"models":[..],"adapters"?:[..],"versions"?:[..],"keys":[..],"max_prompt"?,"weight"?}`; adapters and versions hold
@@ -68,22 +83,40 @@
 
 impl Target {
     pub(super) fn body(self, name: String) -> Body {
-        let Target {
-            checks_fencing,
-            cold_limit,
-            leaving,
-            memory,
-        } = self;
         Body::Target(super::Target {
-            checks_fencing,
-            cold_limit,
-            leaving,
-            memory,
+            checks_fencing: self.checks_fencing,
+            cold_limit: self.cold_limit,
+            leaving: self.leaving,
+            load: self.load,
+            memory: self.memory,
             name,
         })
     }
 }
 
+impl TryFrom<FlatTarget> for Target {
+    type Error = &'static str;
+
+    fn try_from(flat: FlatTarget) -> Result<Self, Self::Error> {
+        let load = match (flat.model, flat.version, flat.role) {
+            (Some(model), Some(version), role) => Some(Load {
+                model,
+                role,
+                version,
+            }),
+            (None, None, None) => None,
+            _ => return Err("`model` and `version` go together, `role` needs them"),
+        };
+        Ok(Self {
+            checks_fencing: flat.checks_fencing,
+            cold_limit: flat.cold_limit,
+            leaving: flat.leaving,
+            load,
+            memory: flat.memory,
+        })
+    }
+}
+
 impl Workspace {
     pub(super) fn body(self, name: String) -> Body {
         let grant = |model| Grant {
--- a/src/record/v2.rs
+++ b/src/record/v2.rs
@@ -4,6 +4,7 @@
 use serde_json::{json, Value};
 
 use crate::id::Tokens;
+use crate::order::Load;
 
 use super::object::{object, objects};
 use super::{Body, Grant};
@@ -37,7 +38,7 @@
     once: bool,
 }
 
-/// `{"leaving"?,"limits"?:{"cold"?,"memory"?},"orders"?:{"checks_fencing"?}}`
+/// `{"leaving"?,"limits"?:{"cold"?,"memory"?},"orders"?:{"checks_fencing"?,"load"?:{"model","version","role"?}}}`
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 pub(super) struct Target {
@@ -63,6 +64,7 @@
 struct Orders {
     #[serde(default)]
     checks_fencing: bool,
+    load: Option<Load>,
 }
 
 /// `{"grants":[{"model","adapters"?,"versions"?}],"keys":[..],"limits"?:{"max_prompt"?,"weight"?}}`
@@ -113,6 +115,7 @@
             checks_fencing: self.orders.checks_fencing,
             cold_limit: self.limits.cold,
             leaving: self.leaving,
+            load: self.orders.load,
             memory: self.limits.memory,
             name,
         })
@@ -146,7 +149,7 @@
         Body::Target(target) => json!({
             "leaving": target.leaving,
             "limits": TargetLimits { cold: target.cold_limit, memory: target.memory },
-            "orders": {"checks_fencing": target.checks_fencing},
+            "orders": orders(target),
         }),
         Body::Workspace(workspace) => json!({
             "grants": workspace.grants,
@@ -155,3 +158,11 @@
         }),
     }
 }
+
+fn orders(target: &super::Target) -> Value {
+    let mut orders = json!({"checks_fencing": target.checks_fencing});
+    if let Some(load) = &target.load {
+        orders["load"] = json!(load);
+    }
+    orders
+}
--- a/src/settings/check.rs
+++ b/src/settings/check.rs
@@ -109,6 +109,13 @@
 
 fn network(checker: &Checker<'_>, settings: &Settings) -> Result<(), Error> {
     let network = &settings.network;
+    checker.millis("controller_delay_ms", network.controller_delay, 100, 60_000)?;
+    checker.millis(
+        "controller_lease_ms",
+        network.controller_lease,
+        500,
+        600_000,
+    )?;
     checker.millis("heartbeat_ms", network.heartbeat, 10, 10_000)?;
     checker.millis("lease_ms", network.lease, 100, 60_000)?;
     checker.millis("list_interval_ms", network.list_interval, 10, 60_000)?;
--- a/src/settings/file.rs
+++ b/src/settings/file.rs
@@ -37,6 +37,8 @@
 #[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 struct NetworkTable {
+    controller_delay_ms: Option<u64>,
+    controller_lease_ms: Option<u64>,
     heartbeat_ms: Option<u64>,
     lease_ms: Option<u64>,
     list: SocketAddr,
@@ -101,6 +103,8 @@
 fn network(table: &NetworkTable) -> Network {
     let default = Network::default();
     Network {
+        controller_delay: millis(table.controller_delay_ms, default.controller_delay),
+        controller_lease: millis(table.controller_lease_ms, default.controller_lease),
         heartbeat: millis(table.heartbeat_ms, default.heartbeat),
         lease: millis(table.lease_ms, default.lease),
         list: table.list,
--- a/src/settings/network.rs
+++ b/src/settings/network.rs
@@ -4,6 +4,10 @@
 /// Addresses of the platform and times between instances.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Network {
+    /// Longest time in which an order to an engine takes effect; the timeout of an order.
+    pub controller_delay: Duration,
+    /// Duration of the lease of a domain's controller.
+    pub controller_lease: Duration,
     /// Time between two heartbeats to the same peer.
     pub heartbeat: Duration,
     /// Time after which a silent peer counts as dead.
@@ -32,6 +36,8 @@
     fn default() -> Self {
         let none = SocketAddr::from((Ipv4Addr::UNSPECIFIED, 0));
         Self {
+            controller_delay: Duration::from_secs(5),
+            controller_lease: Duration::from_secs(10),
             heartbeat: Duration::from_millis(500),
             lease: Duration::from_secs(3),
             list: none,
--- a/tests/record_schemas.rs
+++ b/tests/record_schemas.rs
@@ -51,12 +51,15 @@
             .collect::<Vec<_>>()
     };
     assert_eq!(bodies(&old), bodies(&new));
-    assert_eq!(old.records().len(), 4);
+    assert_eq!(old.records().len(), 5);
     assert!(old.records().iter().all(|record| record.schema == 1));
     assert!(!old.domain_in_service("north"));
     let target = old.target("engine-1").unwrap();
     assert!(target.checks_fencing && target.leaving);
     assert_eq!((target.cold_limit, target.memory), (Some(2), Some(400_000)));
+    let load = old.target("engine-2").unwrap().load.clone().unwrap();
+    assert_eq!((load.model.as_str(), load.version.as_str()), ("amber", "2"));
+    assert_eq!(load.role.as_deref(), Some("prefill"));
     let service = old.service("seats").unwrap();
     assert!(service.is_once("sell") && service.is_once("hold") && !service.is_once("look"));
     assert_eq!(
@@ -190,3 +193,12 @@
             .for_each(|bytes: &[u8]| decode_all(bytes));
     }
 }
+
+/// Guards against an order without a version, which an engine could not carry out.
+#[test]
+fn partial_load() {
+    let entry = r#"{"schema":1,"kind":"target","name":"t","base":0,"body":{"model":"amber"}}"#;
+    assert!(reject(entry).contains("go together"));
+    let entry = r#"{"schema":2,"kind":"target","name":"t","base":0,"body":{"orders":{"load":{"model":"amber"}}}}"#;
+    assert!(reject(entry).contains("version"));
+}
