--- a/src/gang/coordinator.rs
+++ b/src/gang/coordinator.rs
@@ -70,6 +70,11 @@
         self.stage == Stage::Ended
     }
 
+    /// Whether all parts are held and engines work on the prompt.
+    pub fn is_running(&self) -> bool {
+        matches!(self.stage, Stage::Decoding | Stage::Prefilling { .. })
+    }
+
     /// The parts in the order of their segments.
     pub fn parts(&self) -> &[Part] {
         &self.parts
