command: quote values with spaces in the timeline

A reason such as `cannot connect to ..` ran into the next pair of the text form. Values that are empty or more than one plain word are quoted now.

Measured: tests/timeline_merge.rs checks the row of an alarm; all tests of the package pass.

--- a/src/command/timeline/mod.rs
+++ b/src/command/timeline/mod.rs
@@ -125,19 +125,25 @@
     let heading = ["time", "ts", "domain", "instance", "event", "fields"];
     let mut rows = vec![heading.map(String::from).to_vec()];
     for line in lines {
-        let pair = |(key, value): &(String, String)| {
-            // Control characters of a value must not reach the terminal.
-            format!("{key}={}", value.escape_debug())
-        };
+        let pair = |(key, value): &(String, String)| format!("{key}={}", shown(value));
         let pairs: Vec<String> = line.fields.iter().map(pair).collect();
         rows.push(vec![
             line.time.to_string(),
             line.ts.clone(),
-            line.domain.escape_debug().to_string(),
-            line.instance.escape_debug().to_string(),
-            line.event.escape_debug().to_string(),
+            shown(&line.domain),
+            shown(&line.instance),
+            shown(&line.event),
             pairs.join(" "),
         ]);
     }
     output::columns(&rows)
 }
+
+/// A value in quotes unless it is one plain word; control characters must not reach the terminal.
+fn shown(value: &str) -> String {
+    let plain = |c: char| c.is_alphanumeric() || c.is_ascii_punctuation() && c != '"' && c != '\\';
+    if !value.is_empty() && value.chars().all(plain) {
+        return value.to_owned();
+    }
+    format!("{value:?}")
+}
--- a/tests/timeline_merge.rs
+++ b/tests/timeline_merge.rs
@@ -103,6 +103,10 @@
     let case = pair();
     let (_, out, _) = case.run(&["--svg", "p.svg", "a.log", "b.log"]);
     assert_eq!(out.lines().count(), 8, "{out}");
+    assert!(
+        out.contains(r#"alarm     level=warn reason="log \"down\" <1>""#),
+        "{out}"
+    );
     let svg = fs::read_to_string(case.folder.path().join("p.svg")).unwrap();
     // i1 to i2 and back; each arrow has one head.
     assert_eq!(svg.matches("<polygon").count(), 2);
