Keep futures off the stack, keep good entries, renew reservations over a handover

Cause: a debug build overflowed its 2 MiB stack on the first completion, since every future held the HTTP client's by value; an entry of unknown schema discarded the entries before it in the same page; a renewal that met a handover was not repeated; a request whose owners were all gone spent its attempts in 1.7 s. Change: large futures are boxed where they start; the follower installs what it could apply; renewals are repeated until the reservation lapses; a moved target costs no attempt, with pauses from 50 to 400 ms. Conclusion: the four faults were found by reading and by trials of the command line with real processes.

--- a/http/src/client.rs
+++ b/http/src/client.rs
@@ -150,7 +150,8 @@
 }
 
 async fn send(stream: TcpStream, request: Request) -> Result<Response, Error> {
-    async_h1::connect(stream, request)
+    // The future is large; on the heap it does not grow the stack frames of everything that awaits it.
+    Box::pin(async_h1::connect(stream, request))
         .await
         .map_err(|error| Error::Exchange(error.to_string()))
 }
--- a/src/daemon/answer.rs
+++ b/src/daemon/answer.rs
@@ -22,6 +22,9 @@
 /// Wait before a target is tried again that was tried before, for example while it gets a new owner.
 const REPEAT_PAUSE: Duration = Duration::from_millis(50);
 
+/// Longest of these waits, which double each time.
+const REPEAT_PAUSE_MAX: Duration = Duration::from_millis(400);
+
 /// Targets that may refuse a deadline before the refusal is final.
 const DEADLINE_REFUSALS: u32 = 3;
 
@@ -55,6 +58,7 @@
     attempts: u32,
     frames: Option<Frames>,
     gang: Option<long::Gang>,
+    pause: Duration,
     question: Question,
     refusals: u32,
     sent: u64,
@@ -77,6 +81,7 @@
             attempts: 0,
             frames: None,
             gang: None,
+            pause: REPEAT_PAUSE,
             question,
             refusals: 0,
             sent: 0,
@@ -104,7 +109,7 @@
     async fn step(&mut self) -> Result<Step, Error> {
         loop {
             let outcome = match self.frames.take() {
-                None => self.open().await,
+                None => Box::pin(self.open()).await,
                 Some(mut frames) => {
                     let body = match &self.gang {
                         None => frames.next(&self.state).await,
@@ -175,7 +180,14 @@
         self.gang = None;
         let kind = error.kind();
         let repeatable = kind.retriable() || matches!(kind, Kind::UpstreamFailed | Kind::Stalled);
-        if !repeatable || self.attempts >= ATTEMPT_LIMIT {
+        if !repeatable {
+            return Err(error);
+        }
+        // A moved target costs nothing; it is tried elsewhere until the deadline.
+        if kind != Kind::Moved {
+            self.attempts += 1;
+        }
+        if self.attempts >= ATTEMPT_LIMIT {
             return Err(error);
         }
         if kind == Kind::DeadlineRefused {
@@ -184,7 +196,6 @@
                 return Err(error);
             }
         }
-        // A moved target costs nothing; every other retry adds load and is limited.
         if kind != Kind::Moved && !lock(&self.state.budget).spend() {
             return Err(error);
         }
@@ -205,7 +216,6 @@
 
     /// Starts the next attempt. `None` means that it has started or that another try makes sense.
     async fn open(&mut self) -> Result<Option<Body>, Error> {
-        self.attempts += 1;
         if self.sent >= self.question.max_tokens {
             // Only the end was lost; the caller has every token.
             let (cached, count) = (0, self.sent - self.start);
@@ -234,7 +244,7 @@
             .iter()
             .any(|candidate| fits(candidate, ask.prompt + ask.max_tokens))
         {
-            self.pause().await?;
+            self.wait().await?;
             return Ok(None);
         }
         self.open_gang(attempt).await?;
@@ -255,13 +265,14 @@
     }
 
     /// Waits before targets that were tried are tried again.
-    async fn pause(&mut self) -> Result<(), Error> {
-        if self.state.clock.now() + REPEAT_PAUSE >= self.question.deadline {
+    async fn wait(&mut self) -> Result<(), Error> {
+        if self.state.clock.now() + self.pause >= self.question.deadline {
             let message = "no target can take the request before its deadline";
             return Err(Error::new(Kind::Unavailable, message));
         }
         self.tried.clear();
-        Timer::after(REPEAT_PAUSE).await;
+        Timer::after(self.pause).await;
+        self.pause = (self.pause * 2).min(REPEAT_PAUSE_MAX);
         Ok(())
     }
 
--- a/src/daemon/api/mod.rs
+++ b/src/daemon/api/mod.rs
@@ -23,14 +23,26 @@
         (Method::Get, "/metrics") => text(200, state.metrics.render()),
         (Method::Get, "/readyz") => ready(&state),
         (Method::Post, "/v1/chat/completions") => {
-            completion::serve(&state, request, &peer, prompt::Form::Chat).await
+            Box::pin(completion::serve(
+                &state,
+                request,
+                &peer,
+                prompt::Form::Chat,
+            ))
+            .await
         }
         (Method::Post, "/v1/completions") => {
-            completion::serve(&state, request, &peer, prompt::Form::Text).await
+            Box::pin(completion::serve(
+                &state,
+                request,
+                &peer,
+                prompt::Form::Text,
+            ))
+            .await
         }
         (Method::Post, "/v1/keys") => key::serve(&state, &request),
         (Method::Post, path) => match service::split(path) {
-            Some((service, call)) => service::serve(&state, request, service, call).await,
+            Some((service, call)) => Box::pin(service::serve(&state, request, service, call)).await,
             None => unknown(path),
         },
         _ => unknown(&path),
--- a/src/daemon/frames.rs
+++ b/src/daemon/frames.rs
@@ -72,7 +72,9 @@
 }
 
 async fn remote(state: &Arc<State>, peer: &Member, run: &Run) -> Result<Source, Error> {
-    let connection = client::connect(state, peer).await?;
+    let connection = client::connect(state, peer)
+        .await
+        .map_err(|error| Error::new(Kind::Moved, error.message()))?;
     let request = client::request(state, peer, "/peer/run", run)?;
     event!(
         state.source,
--- a/src/daemon/long.rs
+++ b/src/daemon/long.rs
@@ -246,10 +246,10 @@
                 let _ = self.outcome.try_send(Ok(()));
             }
             Action::Fail { kind } => self.fail(kind),
-            Action::Hold { part } => self.hold(part, Event::Held { part }),
+            Action::Hold { part } => self.hold(part),
             Action::Prefill { part, from, to } => self.start_prefill(part, from, to),
             Action::Release { part } => self.release(part),
-            Action::Renew { part } => self.hold(part, Event::Renewed { part }),
+            Action::Renew { part } => self.renew(part),
         }
     }
 
@@ -266,27 +266,22 @@
         let _ = self.outcome.try_send(Err(Error::new(kind, message)));
     }
 
-    /// Takes or renews a reservation; the answer comes as an event.
-    fn hold(&self, part: usize, granted: Event) {
+    /// Takes a reservation; the answer comes as an event.
+    fn hold(&self, part: usize) {
         let message = self.message(part, false);
         let (state, events) = (self.state.clone(), self.events.0.clone());
         let fault = self.fault.clone();
         smol::spawn(async move {
-            let renewal = matches!(granted, Event::Renewed { .. });
             let event = match serve::hold(&state, message).await {
-                Ok(()) => granted,
-                // A renewal that was not confirmed is sent again until the reservation lapses.
-                Err(error) if renewal && error.kind() != Kind::Overloaded => {
-                    note(&fault, error);
-                    return;
-                }
-                Err(error) if error.kind() == Kind::Overloaded && !renewal => {
-                    note(&fault, error);
-                    Event::Refused { part }
-                }
+                Ok(()) => Event::Held { part },
                 Err(error) => {
+                    let refused = error.kind() == Kind::Overloaded;
                     note(&fault, error);
-                    Event::Failed { part }
+                    if refused {
+                        Event::Refused { part }
+                    } else {
+                        Event::Failed { part }
+                    }
                 }
             };
             let _ = events.try_send(event);
@@ -294,6 +289,30 @@
         .detach();
     }
 
+    /// Renews a reservation; the answer comes as an event. While the target gets another owner it is asked for again,
+    /// which takes the memory anew there, until the reservation lapses.
+    fn renew(&self, part: usize) {
+        let message = self.message(part, false);
+        let (state, events) = (self.state.clone(), self.events.0.clone());
+        let fault = self.fault.clone();
+        let end = state.clock.now() + serve::HOLD_LIFETIME;
+        smol::spawn(async move {
+            loop {
+                let error = match serve::hold(&state, message.clone()).await {
+                    Ok(()) => break events.try_send(Event::Renewed { part }),
+                    Err(error) => error,
+                };
+                let final_try = error.kind() == Kind::Overloaded || state.clock.now() >= end;
+                if final_try || events.is_closed() {
+                    note(&fault, error);
+                    break events.try_send(Event::Failed { part });
+                }
+                Timer::after(REPEAT_PAUSE).await;
+            }
+        })
+        .detach();
+    }
+
     fn release(&mut self, part: usize) {
         self.prefill = None;
         let message = self.message(part, true);
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -61,7 +61,7 @@
             let state = shared.clone();
             async move {
                 if request.url().path().starts_with(PEER_PATH) {
-                    return peer::answer(state, request, peer).await;
+                    return Box::pin(peer::answer(state, request, peer)).await;
                 }
                 api::serve(state, request, peer).await
             }
--- a/src/daemon/peer.rs
+++ b/src/daemon/peer.rs
@@ -42,7 +42,7 @@
         Ok(bytes) => bytes,
         Err(error) => return text(413, error.to_string()),
     };
-    let mut response = route(&state, &path, &bytes, &peer).await;
+    let mut response = Box::pin(route(&state, &path, &bytes, &peer)).await;
     response.insert_header(TIME_HEADER, state.clock.tick().to_string());
     response
 }
--- a/src/daemon/serve/hold.rs
+++ b/src/daemon/serve/hold.rs
@@ -11,7 +11,7 @@
 use crate::wire::Hold;
 
 /// Time after which a reservation that is not renewed is released.
-pub(super) const HOLD_LIFETIME: Duration = Duration::from_secs(5);
+pub(crate) const HOLD_LIFETIME: Duration = Duration::from_secs(5);
 
 /// Longest wait for another instance's answer.
 const FORWARD_TIMEOUT: Duration = Duration::from_secs(1);
--- a/src/daemon/task/follow.rs
+++ b/src/daemon/task/follow.rs
@@ -76,13 +76,22 @@
         fold = restore(state, page.first).await?;
         return install(state, fold);
     }
+    let mut fault = None;
     for entry in &page.entries {
-        let verdict = fold
-            .apply(entry.offset, &entry.body)
-            .map_err(|error| alarm(state, entry.offset, &error))?;
-        report(state, entry.offset, &verdict);
+        match fold.apply(entry.offset, &entry.body) {
+            Ok(verdict) => report(state, entry.offset, &verdict),
+            Err(error) => {
+                fault = Some((entry.offset, error));
+                break;
+            }
+        }
+    }
+    // The entries before one that cannot be read are in force.
+    install(state, fold)?;
+    match fault {
+        Some((offset, error)) => Err(alarm(state, offset, &error)),
+        None => Ok(()),
     }
-    install(state, fold)
 }
 
 fn install(state: &Arc<State>, fold: Fold) -> Result<(), String> {
@@ -91,11 +100,11 @@
     if !state.set_fold(fold) {
         return Ok(());
     }
-    state.set_alarm(None);
     state.metrics.record_offset(offset);
     if offset == before {
         return Ok(());
     }
+    state.set_alarm(None);
     super::pump::enforce(state);
     if offset / SNAPSHOT_INTERVAL > before / SNAPSHOT_INTERVAL {
         publish(state);
