Count all control bytes, sent and received, by the other side

Cause: the metric counted heartbeats and the bodies of calls between instances. Reads of the instance list, the log and the targets were missing, as were heads, and forwarded calls and prefills of callers were counted as control.

Change: HTTP clients count bytes on the connection, and the registry takes the counts over when it is rendered. `control_sent_bytes_total` gets the label `channel`, and `control_received_bytes_total` is new. Messages that carry callers' data are not counted. On the server side of a call between instances the length of the head is an estimate of 180 bytes.

--- a/http/src/client.rs
+++ b/http/src/client.rs
@@ -1,10 +1,11 @@
 use std::net::SocketAddr;
-use std::sync::Mutex;
+use std::sync::{Arc, Mutex};
 
 use http_types::{Body, Method, Request, Response, Url};
 use smol::net::TcpStream;
 
-use crate::{read, Error};
+use crate::meter::Meter;
+use crate::{read, Error, Traffic};
 
 /// Idle connections kept for one address.
 const IDLE_LIMIT: usize = 16;
@@ -28,9 +29,18 @@
 #[derive(Debug, Default)]
 pub struct Client {
     idle: Mutex<Vec<Idle>>,
+    traffic: Arc<Traffic>,
 }
 
 impl Client {
+    /// Makes a client whose [`Client::fetch`] counts its bytes in `traffic`. Streams are not counted.
+    pub fn metered(traffic: Arc<Traffic>) -> Self {
+        Self {
+            traffic,
+            ..Self::default()
+        }
+    }
+
     /// Makes a request to `path` on `address`.
     ///
     /// # Errors
@@ -84,7 +94,11 @@
         request: Request,
         limit: usize,
     ) -> Result<(Response, Vec<u8>), Error> {
-        let mut response = send(stream.clone(), request).await?;
+        let meter = Meter {
+            stream: stream.clone(),
+            traffic: self.traffic.clone(),
+        };
+        let mut response = send(meter, request).await?;
         let body = response.take_body();
         let bytes = read(body, limit).await?;
         response.set_body(Body::empty());
@@ -120,6 +134,7 @@
 #[derive(Debug)]
 pub struct Connection {
     stream: TcpStream,
+    traffic: Arc<Traffic>,
 }
 
 impl Connection {
@@ -129,7 +144,15 @@
     /// `Error::Connect`: no byte was written.
     pub async fn open(address: SocketAddr) -> Result<Self, Error> {
         let stream = connect(address).await?;
-        Ok(Self { stream })
+        Ok(Self {
+            stream,
+            traffic: Arc::default(),
+        })
+    }
+
+    /// Counts the bytes of the exchange in `traffic`.
+    pub fn metered(self, traffic: Arc<Traffic>) -> Self {
+        Self { traffic, ..self }
     }
 
     /// Sends the request and returns the answer with its body unread.
@@ -137,7 +160,11 @@
     /// # Errors
     /// After any error the request may have been seen.
     pub async fn send(self, request: Request) -> Result<Response, Error> {
-        send(self.stream, request).await
+        let meter = Meter {
+            stream: self.stream,
+            traffic: self.traffic,
+        };
+        send(meter, request).await
     }
 }
 
@@ -149,7 +176,7 @@
     Ok(stream)
 }
 
-async fn send(stream: TcpStream, request: Request) -> Result<Response, Error> {
+async fn send(stream: Meter, request: Request) -> Result<Response, Error> {
     // The future is large; on the heap it does not grow the stack frames of everything that awaits it.
     Box::pin(async_h1::connect(stream, request))
         .await
--- a/http/src/lib.rs
+++ b/http/src/lib.rs
@@ -5,11 +5,13 @@
 
 mod client;
 mod error;
+mod meter;
 mod peer;
 mod pipe;
 mod reply;
 mod server;
 mod sse;
+mod traffic;
 
 pub use client::Client;
 pub use client::Connection;
@@ -25,3 +27,4 @@
 pub use reply::within;
 pub use server::Server;
 pub use sse::Events;
+pub use traffic::Traffic;
--- a/http/tests/exchange.rs
+++ b/http/tests/exchange.rs
@@ -5,9 +5,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use futures_lite::AsyncReadExt;
+use futures_lite::{AsyncReadExt, AsyncWriteExt};
 use jujubehook_http::http_types::{Method, Request, Response};
-use jujubehook_http::{json, pipe, read, within, Client, Error, Events, Peer, Reuse, Server};
+use jujubehook_http::{
+    json, pipe, read, within, Client, Error, Events, Peer, Reuse, Server, Traffic,
+};
+use smol::net::TcpListener;
 
 const LIMIT: usize = 8 << 20;
 
@@ -185,3 +188,31 @@
         assert_eq!(hits.load(Ordering::Relaxed), 1);
     });
 }
+
+/// Guards against control bytes that are not counted, or counted twice.
+#[test]
+fn metered_bytes() {
+    smol::block_on(async {
+        let listener = TcpListener::bind(free()).await.unwrap();
+        let address = listener.local_addr().unwrap();
+        let answer = b"HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nhello";
+        let server = smol::spawn(async move {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            let (mut seen, mut buffer) = (0, [0; 4096]);
+            while !buffer[..seen].ends_with(&[b'x'; 1000]) {
+                seen += stream.read(&mut buffer[seen..]).await.unwrap();
+            }
+            stream.write_all(answer).await.unwrap();
+            seen
+        });
+        let traffic = Arc::new(Traffic::default());
+        let client = Client::metered(traffic.clone());
+        let mut request = Client::request(Method::Post, address, "/").unwrap();
+        request.set_body("x".repeat(1000));
+        let call = client.fetch(address, request, Reuse::Pooled, 100);
+        assert_eq!(call.await.unwrap().1, b"hello");
+        assert_eq!(traffic.take_sent(), server.await as u64);
+        assert_eq!(traffic.take_received(), answer.len() as u64);
+        assert_eq!((traffic.take_sent(), traffic.take_received()), (0, 0));
+    });
+}
--- a/src/daemon/client.rs
+++ b/src/daemon/client.rs
@@ -7,6 +7,7 @@
 
 use super::state::{lock, State};
 use crate::error::{Error, Kind};
+use crate::metric::Channel;
 use crate::platform::Member;
 use crate::wire::{self, Answer};
 
@@ -16,6 +17,9 @@
 /// Largest accepted answer of a peer in bytes; a snapshot of all records is the largest.
 const ANSWER_LIMIT: usize = 32 << 20;
 
+/// Paths whose messages carry callers' data and do not count as control messages.
+pub(crate) const DATA_PATHS: &[&str] = &["/peer/call", "/peer/once", "/peer/prefill", "/peer/run"];
+
 /// Header with the key that instances share.
 pub(crate) const KEY_HEADER: &str = "x-peer-key";
 
@@ -33,11 +37,11 @@
     message: &impl Serialize,
     limit: Duration,
 ) -> Result<T, Error> {
-    let connection = connect(state, peer).await?;
+    let mut connection = connect(state, peer).await?;
+    if !DATA_PATHS.contains(&path) {
+        connection = connection.metered(state.metrics.traffic(Channel::Peer).clone());
+    }
     let request = request(state, peer, path, message)?;
-    state
-        .metrics
-        .control_sent(path.len() + request.len().unwrap_or_default());
     let work = async {
         let mut response = connection.send(request).await?;
         let bytes = read(response.take_body(), ANSWER_LIMIT).await?;
--- a/src/daemon/once/partition.rs
+++ b/src/daemon/once/partition.rs
@@ -12,6 +12,7 @@
 use crate::daemon::state::{lock, State};
 use crate::event;
 use crate::id::{Incarnation, InstanceId};
+use crate::metric::Channel;
 use crate::platform::{Error, Log, Settings as LogSettings};
 
 /// Time over which entries are collected for one append; 12 domains then make 240 appends/s.
@@ -62,7 +63,10 @@
         if self.started.swap(true, Ordering::AcqRel) {
             return;
         }
-        let log = Arc::new(Log::new(state.settings.network.log, LogSettings::default()));
+        let log = Arc::new(
+            Log::new(state.settings.network.log, LogSettings::default())
+                .metered(state.metrics.traffic(Channel::Log).clone()),
+        );
         // Weak references let the tasks end with the daemon.
         let weak = Arc::downgrade(state);
         smol::spawn(self.clone().read(weak.clone(), log.clone())).detach();
--- a/src/daemon/peer.rs
+++ b/src/daemon/peer.rs
@@ -8,17 +8,21 @@
 use serde::Serialize;
 use subtle::ConstantTimeEq;
 
-use super::client::{KEY_HEADER, TIME_HEADER};
+use super::client::{DATA_PATHS, KEY_HEADER, TIME_HEADER};
 use super::frames::Frames;
 use super::state::State;
 use super::{once, serve, status, task};
 use crate::error::{Error, Kind};
 use crate::id::AttemptId;
+use crate::metric::Channel;
 use crate::wire::{self, Answer, Body, Call, Failure, Frame, Hold, Run, Segment};
 
 /// Bytes that a peer's message may have above the largest body of a caller.
 const MESSAGE_OVERHEAD: usize = 1 << 20;
 
+/// Typical head of a message between instances in bytes; the server does not see the head's length.
+const HEAD_BYTES: usize = 180;
+
 /// Answers one request of a peer.
 pub(super) async fn answer(state: Arc<State>, mut request: Request, peer: Peer) -> Response {
     if !is_peer(&state, &request) {
@@ -43,6 +47,11 @@
         Err(error) => return text(413, error.to_string()),
     };
     let mut response = Box::pin(route(&state, &path, &bytes, &peer)).await;
+    if !DATA_PATHS.contains(&path.as_str()) {
+        let traffic = state.metrics.traffic(Channel::Peer);
+        traffic.add_received(bytes.len() + HEAD_BYTES);
+        traffic.add_sent(response.len().unwrap_or_default() + HEAD_BYTES);
+    }
     response.insert_header(TIME_HEADER, state.clock.tick().to_string());
     response
 }
--- a/src/daemon/state.rs
+++ b/src/daemon/state.rs
@@ -12,7 +12,7 @@
 use crate::error::{Error, Kind};
 use crate::event::Source;
 use crate::id::{Incarnation, InstanceId, TargetId};
-use crate::metric::Registry;
+use crate::metric::{Channel, Registry};
 use crate::owner;
 use crate::platform::{self, Listing, Log, Member, Role};
 use crate::record::Fold;
@@ -68,6 +68,8 @@
         let incarnation = unguessable();
         let policy = route::policy(&settings.policy)?;
         let network = &settings.network;
+        let metrics =
+            Registry::new().map_err(|error| Error::new(Kind::Internal, error.to_string()))?;
         let table = owner::Table::new(
             settings.instance.clone(),
             incarnation,
@@ -86,15 +88,15 @@
             controller: AtomicBool::new(false),
             budget: Mutex::new(Budget::new(RETRY_SHARE, RETRY_BURST)),
             claims: Claims::new(&settings.instance, incarnation),
-            client: Client::default(),
+            client: Client::metered(metrics.traffic(Channel::Target).clone()),
             fold: RwLock::default(),
             incarnation,
             leaving: AtomicBool::new(false),
             listing: RwLock::default(),
             loads: Mutex::default(),
-            log: Log::new(network.log, platform::Settings::default()),
-            metrics: Registry::new()
-                .map_err(|error| Error::new(Kind::Internal, error.to_string()))?,
+            log: Log::new(network.log, platform::Settings::default())
+                .metered(metrics.traffic(Channel::Log).clone()),
+            metrics,
             outlier: Mutex::default(),
             owned: policy.owned(),
             owner: Mutex::new(table),
--- a/src/daemon/task/beat.rs
+++ b/src/daemon/task/beat.rs
@@ -8,6 +8,7 @@
 use crate::daemon::client;
 use crate::daemon::state::{lock, State};
 use crate::event;
+use crate::metric::Channel;
 use crate::owner::{Acquire, Action, Beat, Grant};
 
 /// Time between two ticks of the ownership table.
@@ -24,6 +25,7 @@
 
 /// Sends heartbeats to all instances of the own domain.
 pub(crate) async fn send(state: Arc<State>, socket: UdpSocket) {
+    let traffic = state.metrics.traffic(Channel::Heartbeat);
     loop {
         for peer in state.peers() {
             let beat = {
@@ -38,8 +40,9 @@
             // Fields go by position, since names would make the datagram three times as long.
             let bytes = rmp_serde::to_vec(&beat).unwrap_or_default();
             let datagram = tag::seal(state.settings.peer_key.as_bytes(), bytes);
-            state.metrics.control_sent(datagram.len());
-            let _ = socket.send_to(&datagram, peer.address).await;
+            if socket.send_to(&datagram, peer.address).await.is_ok() {
+                traffic.add_sent(datagram.len());
+            }
         }
         Timer::after(state.settings.network.heartbeat).await;
     }
@@ -53,6 +56,10 @@
             Timer::after(RECEIVE_PAUSE).await;
             continue;
         };
+        state
+            .metrics
+            .traffic(Channel::Heartbeat)
+            .add_received(length);
         let key = state.settings.peer_key.as_bytes();
         let Some(message) = tag::open(key, &buffer[..length]) else {
             continue;
--- a/src/daemon/task/control.rs
+++ b/src/daemon/task/control.rs
@@ -7,6 +7,7 @@
 use crate::daemon::state::{lock, State};
 use crate::event;
 use crate::id::{Fence, TargetId};
+use crate::metric::Channel;
 use crate::order::{Action, Controller, Lease, Load, Plan, Settings};
 use crate::platform::{Engine, Log, Role, Settings as LogSettings};
 
@@ -33,7 +34,10 @@
         settings.clone(),
         state.clock.now(),
     )));
-    let log = Arc::new(Log::new(state.settings.network.log, LogSettings::default()));
+    let log = Arc::new(
+        Log::new(state.settings.network.log, LogSettings::default())
+            .metered(state.metrics.traffic(Channel::Log).clone()),
+    );
     let stream = format!("control-{}", state.settings.domain);
     let mut reader: Option<Task<()>> = None;
     let mut fence = None;
--- a/src/daemon/task/list.rs
+++ b/src/daemon/task/list.rs
@@ -5,11 +5,13 @@
 use super::beat;
 use crate::daemon::state::{lock, State};
 use crate::event;
+use crate::metric::Channel;
 use crate::platform::{List, Settings};
 
 /// Reads the instance list; the last list stays in use while it is down.
 pub(crate) async fn run(state: Arc<State>) {
-    let list = List::new(state.settings.network.list, Settings::default());
+    let list = List::new(state.settings.network.list, Settings::default())
+        .metered(state.metrics.traffic(Channel::List).clone());
     let mut version = None;
     let mut failing = false;
     loop {
--- a/src/metric/label.rs
+++ b/src/metric/label.rs
@@ -1,5 +1,8 @@
 use crate::error::Kind;
 
+/// Receivers of control messages.
+pub(super) const CHANNELS: &[&str] = &["heartbeat", "list", "log", "peer", "target"];
+
 /// Prompt length classes.
 pub(super) const CLASSES: &[&str] = &["long", "medium", "short"];
 
--- a/src/metric/mod.rs
+++ b/src/metric/mod.rs
@@ -4,7 +4,9 @@
 //! as `other`, so that the number of series is bounded.
 
 mod build;
+mod channel;
 mod label;
 mod registry;
 
+pub use channel::Channel;
 pub use registry::Registry;
--- a/src/metric/registry.rs
+++ b/src/metric/registry.rs
@@ -1,11 +1,14 @@
+use std::sync::Arc;
 use std::time::Duration;
 
+use jujubehook_http::Traffic;
 use prometheus::{
     Gauge, Histogram, HistogramVec, IntCounter, IntCounterVec, IntGauge, Result, TextEncoder,
 };
 
 use super::build::{counter, counters, gauge, histogram, histograms, seconds};
-use super::label::{bounded, outcomes, CLAIMS, CLASSES, GANGS, OK, STATES};
+use super::channel::Channel;
+use super::label::{bounded, outcomes, CHANNELS, CLAIMS, CLASSES, GANGS, OK, STATES};
 use crate::error::Kind;
 use crate::id::{Offset, Tokens};
 
@@ -23,7 +26,8 @@
 #[derive(Debug)]
 pub struct Registry {
     claims: IntCounterVec,
-    control_sent_bytes: IntCounter,
+    control_received_bytes: IntCounterVec,
+    control_sent_bytes: IntCounterVec,
     dispatches: IntCounterVec,
     forwarded: IntCounter,
     gangs: IntCounterVec,
@@ -39,6 +43,7 @@
     retries: IntCounter,
     time_between_tokens: Histogram,
     time_to_first_token: HistogramVec,
+    traffic: [Arc<Traffic>; CHANNELS.len()],
 }
 
 impl Registry {
@@ -55,10 +60,17 @@
                 "Claims of idempotency keys.",
                 &["outcome"],
             )?,
-            control_sent_bytes: counter(
+            control_received_bytes: counters(
+                &r,
+                "control_received_bytes_total",
+                "Bytes of control messages received, by the other side.",
+                &["channel"],
+            )?,
+            control_sent_bytes: counters(
                 &r,
                 "control_sent_bytes_total",
-                "Bytes of control messages sent to peers, the log and the instance list.",
+                "Bytes of control messages sent, by the other side.",
+                &["channel"],
             )?,
             dispatches: counters(
                 &r,
@@ -120,6 +132,7 @@
                 LONG_BOUNDS,
             )?,
             registry: r,
+            traffic: Default::default(),
         };
         made.fill();
         Ok(made)
@@ -131,11 +144,6 @@
         self.claims.with_label_values(&[outcome]).inc();
     }
 
-    /// Counts bytes of control messages sent.
-    pub fn control_sent(&self, bytes: usize) {
-        self.control_sent_bytes.inc_by(bytes as u64);
-    }
-
     /// Counts a dispatch to a target in `state`: `cold`, `gone`, `leaving`, `warm` or `warming`.
     pub fn dispatch(&self, state: &str) {
         let state = bounded(state, STATES);
@@ -191,6 +199,13 @@
 
     /// Renders all metrics in the text format.
     pub fn render(&self) -> String {
+        for (channel, traffic) in CHANNELS.iter().zip(&self.traffic) {
+            let labels = [*channel];
+            let received = self.control_received_bytes.with_label_values(&labels);
+            received.inc_by(traffic.take_received());
+            let sent = self.control_sent_bytes.with_label_values(&labels);
+            sent.inc_by(traffic.take_sent());
+        }
         TextEncoder::new()
             .encode_to_string(&self.registry.gather())
             .unwrap_or_default()
@@ -219,6 +234,11 @@
         }
     }
 
+    /// Counter of the control messages exchanged with one kind of party.
+    pub fn traffic(&self, channel: Channel) -> &Arc<Traffic> {
+        &self.traffic[channel as usize]
+    }
+
     /// Creates the series of the closed label sets, so that a rate over the first event is not lost.
     fn fill(&self) {
         for class in CLASSES {
--- a/src/platform/list.rs
+++ b/src/platform/list.rs
@@ -1,7 +1,8 @@
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use jujubehook_http::http_types::Method;
-use jujubehook_http::{Client, Reuse};
+use jujubehook_http::{Client, Reuse, Traffic};
 
 use super::call::{call, decode};
 use super::{Error, Listing, Settings};
@@ -24,6 +25,14 @@
         }
     }
 
+    /// Counts the bytes of all calls in `traffic`.
+    pub fn metered(self, traffic: Arc<Traffic>) -> Self {
+        Self {
+            client: Client::metered(traffic),
+            ..self
+        }
+    }
+
     /// Fetches the list; `None` if it still has the version that the caller has.
     ///
     /// # Errors
--- a/src/platform/log.rs
+++ b/src/platform/log.rs
@@ -1,8 +1,9 @@
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use jujubehook_http::http_types::{mime, Method};
-use jujubehook_http::{Client, Error as HttpError, Reuse};
+use jujubehook_http::{Client, Error as HttpError, Reuse, Traffic};
 use serde::Deserialize;
 
 use super::call::{call, decode};
@@ -32,6 +33,14 @@
         }
     }
 
+    /// Counts the bytes of all calls in `traffic`.
+    pub fn metered(self, traffic: Arc<Traffic>) -> Self {
+        Self {
+            client: Client::metered(traffic),
+            ..self
+        }
+    }
+
     /// Appends one entry to a stream and returns its offset.
     ///
     /// # Errors
--- a/tests/metric_names.rs
+++ b/tests/metric_names.rs
@@ -6,7 +6,7 @@
 use jujubehook::error::Kind;
 use jujubehook::metric::Registry;
 
-const LABELS: &[&str] = &["class", "le", "outcome", "state"];
+const LABELS: &[&str] = &["channel", "class", "le", "outcome", "state"];
 const LIST: &str = include_str!("../docs/metrics.md");
 const UNITLESS: &[&str] = &["jujubehook_owned_targets", "jujubehook_record_offset"];
 const UNITS: &[&str] = &["_seconds", "_total"];
