Set the metric of owned targets

Cause: `jujubehook_owned_targets` was registered but never set, so it was always 0.

Change: the daemon sets it when its metrics are read.

Result: in a fleet of 2 instances, 2 engines and 1 service the sum is 3; `tests/daemon_metrics.rs` checks it, and that the control counters move.

--- a/src/daemon/api/mod.rs
+++ b/src/daemon/api/mod.rs
@@ -20,7 +20,7 @@
     let path = request.url().path().to_owned();
     match (request.method(), path.as_str()) {
         (Method::Get, "/healthz") => text(200, "ok\n"),
-        (Method::Get, "/metrics") => text(200, state.metrics.render()),
+        (Method::Get, "/metrics") => metrics(&state),
         (Method::Get, "/readyz") => ready(&state),
         (Method::Post, "/v1/chat/completions") => {
             Box::pin(completion::serve(
@@ -60,6 +60,11 @@
     response
 }
 
+fn metrics(state: &State) -> Response {
+    state.metrics.owned_targets(state.owned_targets());
+    text(200, state.metrics.render())
+}
+
 fn ready(state: &State) -> Response {
     if state.is_ready() {
         return text(200, "ready\n");
--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -103,13 +103,7 @@
 
     /// Number of targets that this instance dispatches to.
     pub fn owned_targets(&self) -> usize {
-        let now = self.state.clock.now();
-        let targets = self.state.targets();
-        let owner = lock(&self.state.owner);
-        targets
-            .iter()
-            .filter(|target| owner.may_dispatch(target, now))
-            .count()
+        self.state.owned_targets()
     }
 
     /// Hands targets over, waits for the requests in progress, then stops.
--- a/src/daemon/state.rs
+++ b/src/daemon/state.rs
@@ -247,6 +247,17 @@
         self.owned
     }
 
+    /// Number of targets of the own domain that this instance dispatches to.
+    pub(crate) fn owned_targets(&self) -> usize {
+        let now = self.clock.now();
+        let targets = self.targets();
+        let owner = lock(&self.owner);
+        targets
+            .iter()
+            .filter(|target| owner.may_dispatch(target, now))
+            .count()
+    }
+
     /// Other instances of the own domain by the instance list.
     pub(crate) fn peers(&self) -> Vec<Member> {
         self.entries(&self.settings.domain)
--- /dev/null
+++ b/tests/daemon_metrics.rs
@@ -0,0 +1,48 @@
+//! Guards against metrics that a running daemon never sets.
+
+use std::net::SocketAddr;
+
+use jujubehook::load::{Fleet, Settings};
+use jujubehook_http::http_types::Method;
+use jujubehook_http::{Client, Reuse};
+
+const PAGE_LIMIT: usize = 1 << 20;
+
+async fn page(address: SocketAddr) -> String {
+    let request = Client::request(Method::Get, address, "/metrics").unwrap();
+    let client = Client::default();
+    let call = client.fetch(address, request, Reuse::Never, PAGE_LIMIT);
+    String::from_utf8(call.await.unwrap().1).unwrap()
+}
+
+fn value(page: &str, name: &str) -> u64 {
+    let line = page.lines().find_map(|line| line.strip_prefix(name));
+    line.unwrap().trim().parse().unwrap()
+}
+
+#[test]
+fn owned_and_control() {
+    smol::block_on(async {
+        let settings = Settings {
+            domains: 1,
+            engines: 2,
+            instances: 2,
+            ..Settings::default()
+        };
+        let fleet = Fleet::start(settings).await.unwrap();
+        let mut owned = 0;
+        for entry in fleet.entries() {
+            let page = page(entry).await;
+            owned += value(&page, "jujubehook_owned_targets");
+            for channel in ["heartbeat", "list", "log", "peer"] {
+                for way in ["received", "sent"] {
+                    let name =
+                        format!("jujubehook_control_{way}_bytes_total{{channel=\"{channel}\"}}");
+                    assert!(value(&page, &name) > 0, "{name}");
+                }
+            }
+        }
+        // Two engines and the plain service.
+        assert_eq!(owned, 3);
+    });
+}
