Add a tool that measures what an instance costs

`examples/capacity` starts stand-ins in its own process and daemons as processes, drives requests, claims, configuration changes or new versions of the instance list, and prints processor time and memory from `/proc` and control bytes from the metrics. With `--tap` it counts the bytes between the instances and the platform outside of the daemon as well.

--- /dev/null
+++ b/examples/capacity/options.rs
@@ -0,0 +1,98 @@
+use std::path::PathBuf;
+use std::time::Duration;
+
+/// Size of one run.
+#[derive(Clone, Debug)]
+pub(crate) struct Options {
+    /// Configuration changes per second.
+    pub(crate) changes: f64,
+    /// Calls per second with callers' keys, over all instances.
+    pub(crate) claims: f64,
+    /// The daemon to measure.
+    pub(crate) daemon: PathBuf,
+    /// Engines in the domain.
+    pub(crate) engines: usize,
+    /// Only folds the records of the workspaces, in this process.
+    pub(crate) fold: bool,
+    /// Time between two heartbeats.
+    pub(crate) heartbeat_ms: u64,
+    /// Time between two reads of the instance list.
+    pub(crate) list_ms: u64,
+    /// Prompt tokens of a request.
+    pub(crate) prompt: usize,
+    /// Time between two readings of a target.
+    pub(crate) reap_ms: u64,
+    /// Requests per second and instance.
+    pub(crate) requests: f64,
+    /// Engines in other domains that are listed but not run.
+    pub(crate) rows: usize,
+    /// Instances in the domain.
+    pub(crate) nodes: usize,
+    /// Versions of the instance list per second.
+    pub(crate) versions: f64,
+    /// Measured time.
+    pub(crate) window: Duration,
+    /// Counts bytes between the instances and the platform independently of the daemon.
+    pub(crate) tap: bool,
+    /// Tokens generated for each request.
+    pub(crate) tokens: u64,
+    /// Workspaces with a record.
+    pub(crate) workspaces: usize,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self {
+            changes: 0.0,
+            claims: 0.0,
+            daemon: "target/release/jujubehookd".into(),
+            engines: 8,
+            fold: false,
+            heartbeat_ms: 500,
+            list_ms: 1000,
+            nodes: 4,
+            prompt: 1000,
+            reap_ms: 2000,
+            requests: 0.0,
+            rows: 0,
+            tap: false,
+            tokens: 16,
+            versions: 0.0,
+            window: Duration::from_secs(20),
+            workspaces: 10,
+        }
+    }
+}
+
+impl Options {
+    /// Reads the options of the command line.
+    pub(crate) fn parse() -> Result<Self, lexopt::Error> {
+        use lexopt::prelude::*;
+
+        let mut options = Self::default();
+        let mut parser = lexopt::Parser::from_env();
+        while let Some(argument) = parser.next()? {
+            match argument {
+                Long("changes") => options.changes = parser.value()?.parse()?,
+                Long("claims") => options.claims = parser.value()?.parse()?,
+                Long("daemon") => options.daemon = parser.value()?.into(),
+                Long("engines") => options.engines = parser.value()?.parse()?,
+                Long("fold") => options.fold = true,
+                Long("heartbeat") => options.heartbeat_ms = parser.value()?.parse()?,
+                Long("list") => options.list_ms = parser.value()?.parse()?,
+                Long("nodes") => options.nodes = parser.value()?.parse()?,
+                Long("prompt") => options.prompt = parser.value()?.parse()?,
+                Long("reap") => options.reap_ms = parser.value()?.parse()?,
+                Long("requests") => options.requests = parser.value()?.parse()?,
+                Long("rows") => options.rows = parser.value()?.parse()?,
+                Long("seconds") => options.window = Duration::from_secs(parser.value()?.parse()?),
+                Long("tap") => options.tap = true,
+                Long("tokens") => options.tokens = parser.value()?.parse()?,
+                Long("versions") => options.versions = parser.value()?.parse()?,
+                Long("workspaces") => options.workspaces = parser.value()?.parse()?,
+                _ => return Err(argument.unexpected()),
+            }
+        }
+        Ok(options)
+    }
+}
