Look the records and the instance list up once per routing decision

Cause: for each target of a model the choice of a target took both locks, searched the list for the member that it already had, and asked the ownership table about targets of other domains, which it never has.

Change: the records and the list are taken once, and only targets of the own domain are looked up in the ownership table.

--- a/src/daemon/candidates.rs
+++ b/src/daemon/candidates.rs
@@ -1,6 +1,7 @@
 use std::sync::Arc;
+use std::time::Duration;
 
-use super::state::{lock, State};
+use super::state::{lock, takes_work, State};
 use crate::error::{Error, Kind};
 use crate::id::{TargetId, Tokens};
 use crate::platform::{Member, Role};
@@ -37,7 +38,7 @@
     role: Role,
     serves: impl Fn(&Member) -> bool,
 ) -> Option<Result<Vec<Candidate>, Error>> {
-    let listing = state.listing();
+    let (fold, listing) = (state.fold(), state.listing());
     let serving: Vec<&Member> = listing
         .instances
         .iter()
@@ -48,18 +49,17 @@
     }
     let usable: Vec<&Member> = serving
         .into_iter()
-        .filter(|member| state.in_service(&member.id))
+        .filter(|member| takes_work(&fold, member))
         .collect();
     if usable.is_empty() {
         let message = "every target of this kind is out of service or leaving";
         return Some(Err(Error::new(Kind::Unavailable, message)));
     }
-    Some(Ok(describe(state, class, &usable)))
+    Some(Ok(describe(state, &fold, class, &usable)))
 }
 
-fn describe(state: &Arc<State>, class: Class, members: &[&Member]) -> Vec<Candidate> {
+fn describe(state: &Arc<State>, fold: &Fold, class: Class, members: &[&Member]) -> Vec<Candidate> {
     let now = state.clock.now();
-    let fold = state.fold();
     let settings = state.settings.queue.target();
     let pool: Vec<TargetId> = members.iter().map(|member| member.id.clone()).collect();
     let ejected = lock(&state.outlier).ejected_among(&pool, now);
@@ -68,21 +68,29 @@
         .map(|member| Candidate {
             domain: member.domain.clone(),
             ejected: ejected.contains(&member.id),
-            load: load(state, member),
-            memory: settings.capacity(class, memory(&fold, member).unwrap_or(settings.memory)),
+            load: load(state, member, now),
+            memory: settings.capacity(class, memory(fold, member).unwrap_or(settings.memory)),
             target: member.id.clone(),
         })
         .collect()
 }
 
 /// The load of a target: exact where this instance dispatches to it, else the last report.
-fn load(state: &Arc<State>, member: &Member) -> Option<Load> {
-    let now = state.clock.now();
-    let dispatches = !state.owned() || lock(&state.owner).may_dispatch(&member.id, now);
-    match state.existing(&member.id) {
-        Some(slot) if dispatches => Some(slot.load(now)),
-        _ => lock(&state.loads).get(&member.id, now),
+fn load(state: &Arc<State>, member: &Member, now: Duration) -> Option<Load> {
+    if dispatches(state, member, now) {
+        if let Some(slot) = state.existing(&member.id) {
+            return Some(slot.load(now));
+        }
+    }
+    lock(&state.loads).get(&member.id, now)
+}
+
+/// Whether this instance dispatches to the target; under ownership it never does in another domain.
+fn dispatches(state: &Arc<State>, member: &Member, now: Duration) -> bool {
+    if !state.owned() {
+        return true;
     }
+    member.domain == state.settings.domain && lock(&state.owner).may_dispatch(&member.id, now)
 }
 
 fn memory(fold: &Fold, member: &Member) -> Option<Tokens> {
--- a/src/daemon/state.rs
+++ b/src/daemon/state.rs
@@ -236,10 +236,7 @@
         let Some(member) = listing.member(target) else {
             return false;
         };
-        let fold = self.fold();
-        member.state == platform::State::Live
-            && fold.domain_in_service(&member.domain)
-            && !fold.target(target).is_some_and(|record| record.leaving)
+        takes_work(&self.fold(), member)
     }
 
     /// Whether targets have owners under the routing policy in use.
@@ -346,6 +343,13 @@
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
+/// Whether a record and the member's state let a listed target take new work.
+pub(crate) fn takes_work(fold: &Fold, member: &Member) -> bool {
+    member.state == platform::State::Live
+        && fold.domain_in_service(&member.domain)
+        && !fold.target(&member.id).is_some_and(|record| record.leaving)
+}
+
 /// An id that other parties cannot guess.
 pub(crate) fn unguessable() -> u64 {
     // Without the operating system's random source no id is safe; fastrand then still keeps ids distinct.
