Find the targets to load by their records

Cause: ten times a second the controller task compared the domain of every row of the instance list, which are 6,360 at the target size, although few targets have a record that asks for a load.

Change: it goes over the target records and looks each up in the list.

--- a/examples/capacity/options.rs
+++ b/examples/capacity/options.rs
@@ -28,6 +28,8 @@
     pub(crate) rows: usize,
     /// Instances in the domain.
     pub(crate) nodes: usize,
+    /// Starts one more instance and kills it within the window.
+    pub(crate) victim: bool,
     /// Versions of the instance list per second.
     pub(crate) versions: f64,
     /// Measured time.
@@ -58,6 +60,7 @@
             tap: false,
             tokens: 16,
             versions: 0.0,
+            victim: false,
             window: Duration::from_secs(20),
             workspaces: 10,
         }
@@ -88,6 +91,7 @@
                 Long("seconds") => options.window = Duration::from_secs(parser.value()?.parse()?),
                 Long("tap") => options.tap = true,
                 Long("tokens") => options.tokens = parser.value()?.parse()?,
+                Long("victim") => options.victim = true,
                 Long("versions") => options.versions = parser.value()?.parse()?,
                 Long("workspaces") => options.workspaces = parser.value()?.parse()?,
                 _ => return Err(argument.unexpected()),
--- a/src/daemon/task/control.rs
+++ b/src/daemon/task/control.rs
@@ -9,7 +9,8 @@
 use crate::id::{Fence, TargetId};
 use crate::metric::Channel;
 use crate::order::{Action, Controller, Lease, Load, Plan, Settings};
-use crate::platform::{Engine, Log, Role, Settings as LogSettings};
+use crate::platform::{Engine, Log, Member, Role, Settings as LogSettings};
+use crate::record::Body;
 
 /// Time between two ticks of the controller.
 const TICK: Duration = Duration::from_millis(100);
@@ -83,18 +84,21 @@
     let fold = state.fold();
     let listing = state.listing();
     let mut plans = Vec::new();
-    for member in &listing.instances {
-        if member.role != Role::Engine || member.domain != state.settings.domain {
+    // Few of the listed targets have a record, and this runs ten times a second.
+    for record in fold.records() {
+        let Body::Target(record) = &record.body else {
             continue;
-        }
-        let Some(record) = fold.target(&member.id) else {
+        };
+        let Some(load) = &record.load else {
             continue;
         };
-        if let Some(load) = &record.load {
+        let is_own =
+            |member: &Member| member.role == Role::Engine && member.domain == state.settings.domain;
+        if listing.member(&record.name).is_some_and(is_own) {
             plans.push(Plan {
                 checks_fencing: record.checks_fencing,
                 load: load.clone(),
-                target: member.id.clone(),
+                target: record.name.clone(),
             });
         }
     }
