--- a/examples/capacity/main.rs
+++ b/examples/capacity/main.rs
@@ -120,6 +120,9 @@
         let body = json!({"calls": [{"name": "sell", "once": true}]});
         let entry = record::entry(Kind::Service, "seats", record::NEWEST_SCHEMA, 0, &body);
         log.append("config", &entry).await?;
+        if options.orders {
+            orders(&options, &log).await?;
+        }
         let mut addresses = Vec::new();
         for index in 0..options.nodes + usize::from(options.victim) {
             let address = node::free_port()?;
@@ -345,6 +348,17 @@
     text.split(' ').next().unwrap_or_default().to_owned()
 }
 
+/// Appends target records that ask for the model that the engines have.
+async fn orders(options: &Options, log: &Log) -> Outcome<()> {
+    let body = json!({"orders": {"load": {"model": "model-0", "version": "1"}}});
+    for index in 0..options.engines {
+        let name = format!("engine-{index:05}");
+        let entry = record::entry(Kind::Target, &name, record::NEWEST_SCHEMA, 0, &body);
+        log.append("config", &entry).await?;
+    }
+    Ok(())
+}
+
 /// Shortest of some runs in microseconds; other processes on the machine lengthen the others.
 fn time<T>(work: impl Fn() -> T) -> (T, u128) {
     let mut best = u128::MAX;
--- a/examples/capacity/options.rs
+++ b/examples/capacity/options.rs
@@ -18,6 +18,8 @@
     pub(crate) heartbeat_ms: u64,
     /// Time between two reads of the instance list.
     pub(crate) list_ms: u64,
+    /// Publishes a record with a load for each engine, so that a controller is elected.
+    pub(crate) orders: bool,
     /// Prompt tokens of a request.
     pub(crate) prompt: usize,
     /// Time between two readings of a target.
@@ -53,6 +55,7 @@
             heartbeat_ms: 500,
             list_ms: 1000,
             nodes: 4,
+            orders: false,
             prompt: 1000,
             reap_ms: 2000,
             requests: 0.0,
@@ -84,6 +87,7 @@
                 Long("heartbeat") => options.heartbeat_ms = parser.value()?.parse()?,
                 Long("list") => options.list_ms = parser.value()?.parse()?,
                 Long("nodes") => options.nodes = parser.value()?.parse()?,
+                Long("orders") => options.orders = true,
                 Long("prompt") => options.prompt = parser.value()?.parse()?,
                 Long("reap") => options.reap_ms = parser.value()?.parse()?,
                 Long("requests") => options.requests = parser.value()?.parse()?,
