http: Check heads while they are read and end stalled connections

Cause: async-h1 looks at the length of a head only at the end of each line, so a line without an end grew in memory for up to 60 s. It also panics in `append_header` on a header value that is not ASCII; tests/limits.rs showed the panic on the server's thread with `x: é`, from a caller without any key. Nothing bounded a body or an answer that makes no progress outside the caller API, so a peer that stopped held one of the connections for good.

Ruled out: the panic does not stop the server (the next request was answered before the change), and the handlers are not reached, so keys and limits of the API do not help.

Change: `Socket` wraps each connection. It refuses a head over 8 KiB or with bytes that are not ASCII before async-h1 sees them, on requests and on answers of targets and peers. On the server's side a read or write without progress for 30 s ends. `Limits` holds this time and the number of connections; `Server::start_with` takes others.

--- a/http/src/client.rs
+++ b/http/src/client.rs
@@ -4,6 +4,7 @@
 use http_types::{Body, Method, Request, Response, Url};
 use smol::net::TcpStream;
 
+use crate::socket::Socket;
 use crate::{read, Error};
 
 /// Idle connections kept for one address.
@@ -151,7 +152,7 @@
 
 async fn send(stream: TcpStream, request: Request) -> Result<Response, Error> {
     // The future is large; on the heap it does not grow the stack frames of everything that awaits it.
-    Box::pin(async_h1::connect(stream, request))
+    Box::pin(async_h1::connect(Socket::new(stream, None), request))
         .await
         .map_err(|error| Error::Exchange(error.to_string()))
 }
--- a/http/src/lib.rs
+++ b/http/src/lib.rs
@@ -5,10 +5,12 @@
 
 mod client;
 mod error;
+mod limits;
 mod peer;
 mod pipe;
 mod reply;
 mod server;
+mod socket;
 mod sse;
 
 pub use client::Client;
@@ -16,6 +18,7 @@
 pub use client::Reuse;
 pub use error::Error;
 pub use http_types;
+pub use limits::Limits;
 pub use peer::Peer;
 pub use pipe::pipe;
 pub use pipe::Writer;
--- a/http/src/server.rs
+++ b/http/src/server.rs
@@ -9,10 +9,10 @@
 use smol::net::{TcpListener, TcpStream};
 use smol::{Executor, Task, Timer};
 
-use crate::Peer;
+use async_h1::server::ConnectionStatus;
 
-/// Connections that one server holds open at a time; further ones wait in the accept queue.
-const CONNECTION_LIMIT: usize = 4096;
+use crate::socket::Socket;
+use crate::{Limits, Peer};
 
 /// Pause after a failed accept, which otherwise would spin when descriptors run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
@@ -28,13 +28,26 @@
 impl Server {
     /// Serves `handler` on `address`; port 0 takes a free port.
     pub async fn start<F, R>(address: SocketAddr, handler: F) -> std::io::Result<Self>
+    where
+        F: Fn(Request, Peer) -> R + Clone + Send + Sync + 'static,
+        R: Future<Output = Response> + Send + 'static,
+    {
+        Self::start_with(address, Limits::default(), handler).await
+    }
+
+    /// Serves `handler` on `address` with limits other than the usual ones.
+    pub async fn start_with<F, R>(
+        address: SocketAddr,
+        limits: Limits,
+        handler: F,
+    ) -> std::io::Result<Self>
     where
         F: Fn(Request, Peer) -> R + Clone + Send + Sync + 'static,
         R: Future<Output = Response> + Send + 'static,
     {
         let listener = TcpListener::bind(address).await?;
         let address = listener.local_addr()?;
-        let task = smol::spawn(serve(listener, handler));
+        let task = smol::spawn(serve(listener, limits, handler));
         Ok(Self { address, task })
     }
 
@@ -50,13 +63,13 @@
 }
 
 /// Connections run on an executor of this server, so that they end together with it.
-async fn serve<F, R>(listener: TcpListener, handler: F)
+async fn serve<F, R>(listener: TcpListener, limits: Limits, handler: F)
 where
     F: Fn(Request, Peer) -> R + Clone + Send + Sync + 'static,
     R: Future<Output = Response> + Send + 'static,
 {
     let executor = Executor::new();
-    let slots = Arc::new(Semaphore::new(CONNECTION_LIMIT));
+    let slots = Arc::new(Semaphore::new(limits.connections));
     let accept = async {
         loop {
             let slot = slots.acquire_arc().await;
@@ -65,7 +78,7 @@
                     let handler = handler.clone();
                     executor
                         .spawn(async move {
-                            converse(stream, handler).await;
+                            converse(stream, limits, handler).await;
                             drop(slot);
                         })
                         .detach();
@@ -79,7 +92,7 @@
     future::or(accept, executor.run(future::pending::<()>())).await;
 }
 
-async fn converse<F, R>(stream: TcpStream, handler: F)
+async fn converse<F, R>(stream: TcpStream, limits: Limits, handler: F)
 where
     F: Fn(Request, Peer) -> R + Clone + Send + Sync + 'static,
     R: Future<Output = Response> + Send + 'static,
@@ -87,10 +100,13 @@
     // Small frames must not wait for the acknowledgement of the previous one.
     let _ = stream.set_nodelay(true);
     let peer = Peer::new(stream.clone());
-    let _ = async_h1::accept(stream, |request| {
+    let socket = Socket::new(stream, Some(limits.stall));
+    let mut server = async_h1::server::Server::new(socket.clone(), |request| {
         // Handlers are large; on the heap they do not grow the stack frames of the connection.
         let work = Box::pin(handler(request, peer.clone()));
         async move { Ok(work.await) }
-    })
-    .await;
+    });
+    while let Ok(ConnectionStatus::KeepAlive) = server.accept_one().await {
+        socket.expect_head();
+    }
 }
