daemon: Do not report a request as not run after an attempt

Cause: the error of the last attempt decided `executed`. If the first attempt had reached a target that then died, and the last one was refused, the caller read `executed: no`. A stream that had delivered 13 tokens ended with `deadline_refused`, `executed: no`; a repeatable call that a service had executed ended the same way.

Ruled out: retries themselves are right, since a completion and a call without a key may be repeated. Calls with a key are settled before another attempt and were not affected.

Change: `Answer` and `calls::dispatch` remember whether an attempt may have reached a target; after that, `Error:: after_attempt` turns kinds with `executed: no` into `upstream_failed`, or `deadline_refused` into `deadline_exceeded`. A request whose deadline every target refused is `deadline_refused`, also if there are fewer than three targets; it was `unavailable`. Each retriable kind carries a time for a repeat, as the table says; several errors had none. A token count of a peer can no longer overflow a sum.

Not covered: a chunked prefill that has dispatched a piece and is then moved still counts as not run.

--- a/src/daemon/answer.rs
+++ b/src/daemon/answer.rs
@@ -8,7 +8,7 @@
 use super::frames::Frames;
 use super::long;
 use super::state::{lock, unguessable, State};
-use crate::error::{Error, Kind};
+use crate::error::{Error, Executed, Kind};
 use crate::event;
 use crate::event::hex;
 use crate::id::{tokens, AttemptId, ModelId, RequestId, TargetId, Tokens, WorkspaceId};
@@ -60,6 +60,8 @@
     gang: Option<long::Gang>,
     pause: Duration,
     question: Question,
+    /// Whether an attempt may have reached a target.
+    reached: bool,
     refusals: u32,
     sent: u64,
     start: u64,
@@ -83,6 +85,7 @@
             gang: None,
             pause: REPEAT_PAUSE,
             question,
+            reached: false,
             refusals: 0,
             sent: 0,
             start: 0,
@@ -96,14 +99,18 @@
     pub(crate) async fn next(&mut self) -> Result<Step, Error> {
         let now = self.state.clock.now();
         let left = self.question.deadline.saturating_sub(now) + DEADLINE_GRACE;
-        future::or(self.step(), async {
+        let outcome = future::or(self.step(), async {
             Timer::after(left).await;
             Err(Error::new(
                 Kind::DeadlineExceeded,
                 "the deadline passed before the answer was complete",
             ))
         })
-        .await
+        .await;
+        if self.reached {
+            return outcome.map_err(Error::after_attempt);
+        }
+        outcome
     }
 
     async fn step(&mut self) -> Result<Step, Error> {
@@ -144,7 +151,7 @@
                 target,
             } => {
                 lock(&self.state.loads).set(&target, load, now);
-                if self.start + count != self.sent {
+                if self.start.checked_add(count) != Some(self.sent) {
                     let message = "the answer has fewer tokens than its target counted";
                     self.retry(Error::new(Kind::UpstreamFailed, message))
                         .await?;
@@ -162,10 +169,12 @@
                 Ok(None)
             }
             Body::Start { load } => {
+                self.reached = true;
                 lock(&self.state.loads).set(&self.target, load, now);
                 Ok(None)
             }
             Body::Token { text, .. } => {
+                self.reached = true;
                 self.sent += 1;
                 // A later attempt continues after the tokens that the caller has.
                 self.question.prompt.push_str(&text);
@@ -179,6 +188,7 @@
         self.frames = None;
         self.gang = None;
         let kind = error.kind();
+        self.reached |= kind.executed() == Executed::Unknown;
         let repeatable = kind.retriable() || matches!(kind, Kind::UpstreamFailed | Kind::Stalled);
         if !repeatable {
             return Err(error);
@@ -267,8 +277,12 @@
     /// Waits before targets that were tried are tried again.
     async fn wait(&mut self) -> Result<(), Error> {
         if self.state.clock.now() + self.pause >= self.question.deadline {
+            let kind = match self.refusals {
+                0 => Kind::Unavailable,
+                _ => Kind::DeadlineRefused,
+            };
             let message = "no target can take the request before its deadline";
-            return Err(Error::new(Kind::Unavailable, message));
+            return Err(Error::new(kind, message));
         }
         self.tried.clear();
         Timer::after(self.pause).await;
--- a/src/daemon/calls.rs
+++ b/src/daemon/calls.rs
@@ -24,9 +24,24 @@
 ///
 /// `check` is asked immediately before each attempt.
 pub(super) async fn dispatch(
+    state: &Arc<State>,
+    call: Call,
+    check: impl Fn() -> Result<(), Error>,
+) -> Result<Reply, Error> {
+    let mut reached = false;
+    let outcome = repeat(state, call, check, &mut reached).await;
+    if reached {
+        return outcome.map_err(Error::after_attempt);
+    }
+    outcome
+}
+
+/// Sets `reached` once an attempt may have reached a target.
+async fn repeat(
     state: &Arc<State>,
     mut call: Call,
     check: impl Fn() -> Result<(), Error>,
+    reached: &mut bool,
 ) -> Result<Reply, Error> {
     let deadline = state.clock.now() + Duration::from_millis(call.deadline_ms);
     let mut tried = Vec::new();
@@ -54,6 +69,7 @@
             Ok(reply) => return Ok(reply),
             Err(error) => error,
         };
+        *reached |= error.kind().executed() == Executed::Unknown;
         if !may_repeat(state, &call, &error) {
             return Err(error);
         }
--- a/src/error/mod.rs
+++ b/src/error/mod.rs
@@ -10,6 +10,9 @@
 pub use kind::Executed;
 pub use kind::Kind;
 
+/// Time after which a repeat may have a chance if nothing better is known.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+
 quick_error! {
     /// An error with what the caller has to know about it.
     #[derive(Clone, Debug, Eq, PartialEq)]
@@ -42,6 +45,16 @@
         Error::Failed(kind, message.into(), None)
     }
 
+    /// The same failure of a request that an earlier attempt may have run, so that it is not reported as not run.
+    pub fn after_attempt(self) -> Self {
+        let kind = match (self.kind(), self.kind().executed()) {
+            (_, Executed::Unknown) => return self,
+            (Kind::DeadlineRefused, Executed::No) => Kind::DeadlineExceeded,
+            (_, Executed::No) => Kind::UpstreamFailed,
+        };
+        Error::new(kind, self.message())
+    }
+
     /// Adds the time after which a repeat has a chance.
     pub fn retry_after(self, after: Duration) -> Self {
         let Error::Failed(kind, message, _) = self;
@@ -50,13 +63,13 @@
 
     /// The answer's body.
     pub fn answer(&self) -> Answer {
-        let Error::Failed(kind, message, after) = self;
+        let kind = self.kind();
         Answer {
             error: Body {
                 executed: kind.executed(),
                 kind: kind.name(),
-                message: message.clone(),
-                retry_after_ms: after.map(|after| after.as_millis() as u64),
+                message: self.message().to_owned(),
+                retry_after_ms: self.wait().map(|wait| wait.as_millis() as u64),
             },
         }
     }
@@ -73,9 +86,9 @@
         message
     }
 
-    /// Time after which a repeat has a chance, if known.
+    /// Time after which a repeat may have a chance; given for each retriable kind.
     pub fn wait(&self) -> Option<Duration> {
-        let Error::Failed(_, _, after) = self;
-        *after
+        let Error::Failed(kind, _, after) = self;
+        after.or(kind.retriable().then_some(RETRY_AFTER))
     }
 }
--- /dev/null
+++ b/tests/guard/mod.rs
@@ -0,0 +1,156 @@
+//! A small fleet, requests of any shape, and what the targets have run.
+#![allow(dead_code, unreachable_pub)] // each test file uses a part of the helpers
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::time::{Duration, Instant};
+
+use jujubehook::load::{Caller, Fleet, Settings};
+use jujubehook::record::Kind;
+use jujubehook_http::http_types::{Body, Method, Request};
+use jujubehook_http::{read, within, Client};
+use jujubehook_standin::engine;
+use serde_json::{json, Value};
+use sha2::{Digest, Sha256};
+
+/// Longest wait for a state that is to come about.
+const WAIT: Duration = Duration::from_secs(10);
+
+static PANICS: AtomicUsize = AtomicUsize::new(0);
+
+/// What came back.
+#[derive(Debug)]
+pub struct Seen {
+    pub body: Vec<u8>,
+    pub retry_after: bool,
+    pub status: u16,
+}
+
+impl Seen {
+    /// Kind, status, `executed` and whether there is a time for a repeat, as in the table of error kinds.
+    pub fn error(&self) -> (String, u16, String, bool) {
+        let value: Value = serde_json::from_slice(&self.body).unwrap_or_default();
+        let text = |name: &str| value["error"][name].as_str().unwrap_or("none").to_owned();
+        let repeat = value["error"]["retry_after_ms"].is_u64();
+        assert_eq!(repeat, self.retry_after);
+        (text("kind"), self.status, text("executed"), repeat)
+    }
+}
+
+/// A row of the table of error kinds.
+pub fn row(kind: &str) -> (String, u16, String, bool) {
+    use jujubehook::error::{Executed, Kind};
+
+    let kind = Kind::ALL.iter().find(|row| row.name() == kind).unwrap();
+    let executed = match kind.executed() {
+        Executed::No => "no",
+        Executed::Unknown => "unknown",
+    };
+    (
+        kind.name().into(),
+        kind.status(),
+        executed.into(),
+        kind.retriable(),
+    )
+}
+
+/// A fleet of one domain whose engines are warm and fast. From then on panics are counted.
+pub async fn fleet(instances: usize) -> Fleet {
+    let usual = std::panic::take_hook();
+    std::panic::set_hook(Box::new(move |info| {
+        PANICS.fetch_add(1, Ordering::SeqCst);
+        usual(info);
+    }));
+    Fleet::start(Settings {
+        domains: 1,
+        engine: engine::Settings {
+            cold: false,
+            decode_rate: 200.0,
+            prefill_rate: 500_000.0,
+            ..engine::Settings::default()
+        },
+        engines: 2,
+        instances,
+        workspaces: 2,
+        ..Settings::default()
+    })
+    .await
+    .unwrap()
+}
+
+/// Number of panics on any thread.
+pub fn panics() -> usize {
+    PANICS.load(Ordering::SeqCst)
+}
+
+/// Publishes a workspace with the key `key` and waits until it is in force.
+pub async fn workspace(fleet: &Fleet, key: &str, grants: Value) {
+    let digest: String = Sha256::digest(key.as_bytes())
+        .iter()
+        .map(|byte| format!("{byte:02x}"))
+        .collect();
+    let body = json!({"grants": grants, "keys": [digest]});
+    fleet.publish(Kind::Workspace, key, body).await.unwrap();
+    let bearer = format!("Bearer {key}");
+    let headers = [("authorization", bearer.as_str())];
+    for entry in fleet.entries() {
+        until(async || send(entry, "POST", "/v1/keys", &headers, "").await.status == 200).await;
+    }
+}
+
+/// Sends one request on a connection of its own.
+pub async fn send(
+    address: SocketAddr,
+    method: &str,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: impl Into<Body>,
+) -> Seen {
+    let method: Method = method.parse().unwrap();
+    let mut request: Request = Client::request(method, address, path).unwrap();
+    for (name, value) in headers {
+        request.insert_header(*name, *value);
+    }
+    request.set_body(body);
+    within(WAIT, async {
+        let mut response = Client::default().stream(address, request).await?;
+        let body = read(response.take_body(), 64 << 20).await?;
+        Ok(Seen {
+            body,
+            retry_after: response.header("retry-after").is_some(),
+            status: response.status().into(),
+        })
+    })
+    .await
+    .unwrap_or_else(|error| panic!("{path}: {error}"))
+}
+
+/// Requests that engines have seen and calls that services have seen.
+pub async fn ran(fleet: &Fleet) -> usize {
+    let mut count = 0;
+    for (.., address) in fleet.engines().iter().chain(&fleet.services()) {
+        let stats = fleet.stats(*address).await.unwrap();
+        count += stats["requests"].as_array().unwrap().len();
+    }
+    count
+}
+
+/// Checks that each instance answers a good request.
+pub async fn serves(fleet: &Fleet) {
+    let caller = Caller::new("key-0");
+    for entry in fleet.entries() {
+        let answer = caller
+            .complete(entry, "resin", "hello", 3, Duration::from_secs(5))
+            .await;
+        assert!(answer.is_ok() && answer.count == Some(3), "{answer:?}");
+    }
+}
+
+/// Waits until `holds`.
+pub async fn until(holds: impl AsyncFn() -> bool) {
+    let end = Instant::now() + WAIT;
+    while !holds().await {
+        assert!(Instant::now() < end, "not in time");
+        smol::Timer::after(Duration::from_millis(50)).await;
+    }
+}
