daemon: Answer bad input by the table of error kinds

Cause: an unknown path was `bad_request` with status 404, which the table does not have; peers got plain text for an unknown path, a malformed run and a message that is too large; a caller's body could take 30 s although its deadline was shorter, and a peer's body had no time limit.

Change: these answers follow the table. A body must arrive within the time of the request, at most 30 s.

--- a/src/daemon/api/caller.rs
+++ b/src/daemon/api/caller.rs
@@ -8,7 +8,7 @@
 use crate::error::{Error, Kind};
 use crate::record::Workspace;
 
-/// Time that a caller has to send its body.
+/// Longest time that a caller has to send its body.
 const BODY_TIMEOUT: Duration = Duration::from_secs(30);
 
 /// Header with the time in milliseconds that the caller gives the request.
@@ -61,13 +61,17 @@
     Ok(limit)
 }
 
-/// Reads the body, up to the limit of the settings.
-pub(super) async fn body(state: &State, request: &mut Request) -> Result<Vec<u8>, Error> {
+/// Reads the body, up to the limit of the settings and within the time of the request.
+pub(super) async fn body(
+    state: &State,
+    request: &mut Request,
+    time: Duration,
+) -> Result<Vec<u8>, Error> {
     use jujubehook_http::Error as Http;
 
     let body = request.take_body();
     let limit = state.settings.limits.body;
-    match within(BODY_TIMEOUT, read(body, limit)).await {
+    match within(BODY_TIMEOUT.min(time), read(body, limit)).await {
         Ok(bytes) => Ok(bytes),
         Err(error @ Http::TooLarge(_)) => Err(Error::new(Kind::TooLarge, error.to_string())),
         Err(error) => Err(Error::new(
--- a/src/daemon/api/completion.rs
+++ b/src/daemon/api/completion.rs
@@ -65,7 +65,7 @@
     let workspace = caller::workspace(state, request)?;
     let limit: Duration = caller::deadline(state, request)?;
     let active = state.enter()?;
-    let bytes = caller::body(state, request).await?;
+    let bytes = caller::body(state, request, limit).await?;
     let prompt = Prompt::parse(&bytes)?;
     drop(bytes);
     state.fold().permits(
--- a/src/daemon/api/mod.rs
+++ b/src/daemon/api/mod.rs
@@ -9,7 +9,7 @@
 
 use std::sync::Arc;
 
-use jujubehook_http::http_types::{Method, Request, Response, StatusCode};
+use jujubehook_http::http_types::{Method, Request, Response};
 use jujubehook_http::{json, text, Peer};
 
 use super::state::State;
@@ -67,11 +67,9 @@
     text(503, "not ready\n")
 }
 
-fn unknown(path: &str) -> Response {
-    let mut response = failed(&Error::new(
+pub(super) fn unknown(path: &str) -> Response {
+    failed(&Error::new(
         Kind::BadRequest,
         format!("no such path or method: `{path}`"),
-    ));
-    response.set_status(StatusCode::NotFound);
-    response
+    ))
 }
--- a/src/daemon/api/service.rs
+++ b/src/daemon/api/service.rs
@@ -77,7 +77,7 @@
     let key = request
         .header(KEY_HEADER)
         .map(|values| values.last().as_str().to_owned());
-    let body = caller::body(state, request).await?;
+    let body = caller::body(state, request, limit).await?;
     let body = String::from_utf8(body)
         .map_err(|_| Error::new(Kind::BadRequest, "the body is not UTF-8"))?;
     let fold = state.fold();
--- a/src/daemon/peer.rs
+++ b/src/daemon/peer.rs
@@ -1,13 +1,15 @@
 //! The peers' side: work that other instances forward and what they ask about this one.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use jujubehook_http::http_types::{Method, Request, Response};
-use jujubehook_http::{json, pipe, read, text, Peer};
+use jujubehook_http::{json, pipe, read, text, within, Peer};
 use serde::de::DeserializeOwned;
 use serde::Serialize;
 use subtle::ConstantTimeEq;
 
+use super::api::{failed, unknown};
 use super::client::{KEY_HEADER, TIME_HEADER};
 use super::frames::Frames;
 use super::state::State;
@@ -19,10 +21,13 @@
 /// Bytes that a peer's message may have above the largest body of a caller.
 const MESSAGE_OVERHEAD: usize = 1 << 20;
 
+/// Longest time that a peer has to send its message.
+const BODY_TIMEOUT: Duration = Duration::from_secs(30);
+
 /// Answers one request of a peer.
 pub(super) async fn answer(state: Arc<State>, mut request: Request, peer: Peer) -> Response {
     if !is_peer(&state, &request) {
-        return super::api::failed(&Error::new(Kind::Unauthorized, "wrong peer key"));
+        return failed(&Error::new(Kind::Unauthorized, "wrong peer key"));
     }
     if let Some(time) = request
         .header(TIME_HEADER)
@@ -34,13 +39,13 @@
     if request.method() == Method::Get {
         return match path.as_str() {
             "/peer/status" => json(200, &status::status(&state)),
-            _ => text(404, "no such path\n"),
+            path => unknown(path),
         };
     }
     let limit = state.settings.limits.body + MESSAGE_OVERHEAD;
-    let bytes = match read(request.take_body(), limit).await {
+    let bytes = match within(BODY_TIMEOUT, read(request.take_body(), limit)).await {
         Ok(bytes) => bytes,
-        Err(error) => return text(413, error.to_string()),
+        Err(error) => return failed(&unread(&error)),
     };
     let mut response = Box::pin(route(&state, &path, &bytes, &peer)).await;
     response.insert_header(TIME_HEADER, state.clock.tick().to_string());
@@ -74,9 +79,9 @@
         }
         "/peer/run" => match wire::decode(bytes) {
             Ok(run) => stream(state, run, peer),
-            Err(error) => text(400, error.to_string()),
+            Err(error) => failed(&error),
         },
-        _ => text(404, "no such path\n"),
+        path => unknown(path),
     }
 }
 
@@ -154,6 +159,15 @@
         .collect()
 }
 
+/// The error for a message that could not be read.
+fn unread(error: &jujubehook_http::Error) -> Error {
+    let kind = match error {
+        jujubehook_http::Error::TooLarge(_) => Kind::TooLarge,
+        _ => Kind::BadRequest,
+    };
+    Error::new(kind, format!("cannot read the message: {error}"))
+}
+
 fn is_peer(state: &State, request: &Request) -> bool {
     let expected = state.settings.peer_key.as_bytes();
     request
