wire: Refuse token indexes that overflow

Cause: `Check::accept` and the relay of an engine's tokens added to an index that a peer chooses. A run with `start` 2^64 - 1 panicked with "attempt to add with overflow" in both places' caller (seen 2 times on the daemon's thread; codec.rs:101).

Change: checked sums; the attempt fails with `upstream_failed`.

--- a/src/daemon/serve/engine.rs
+++ b/src/daemon/serve/engine.rs
@@ -173,8 +173,9 @@
             ticket.first_token();
         }
         *next += 1;
+        let index = run.start.checked_add(event.index);
         let body = Body::Token {
-            index: run.start + event.index,
+            index: index.ok_or_else(|| cut(&run.target))?,
             text: event.text,
         };
         output.send(body).await?;
--- a/src/wire/codec.rs
+++ b/src/wire/codec.rs
@@ -98,7 +98,8 @@
             if index != self.index {
                 return Err(self.reject("with a gap in its tokens"));
             }
-            self.index += 1;
+            let next = self.index.checked_add(1);
+            self.index = next.ok_or_else(|| self.reject("with too many tokens"))?;
         }
         self.sequence += 1;
         Ok(())
--- /dev/null
+++ b/tests/bad_peer.rs
@@ -0,0 +1,318 @@
+//! Guards against peers with a wrong key or malformed messages, and against forged heartbeats.
+
+mod guard;
+
+use std::net::{SocketAddr, UdpSocket};
+use std::time::Duration;
+
+use guard::{fleet, panics, ran, row, send, serves, until};
+use hmac::{Hmac, KeyInit, Mac};
+use jujubehook::error::{Error, Kind};
+use jujubehook::load::Fleet;
+use jujubehook::owner::Beat;
+use jujubehook::wire::{self, Answer, Body, Call, Check, Frame, Run};
+use serde_json::Value;
+use sha2::Sha256;
+use smol::Timer;
+
+const GETS: &[&str] = &["/peer/status"];
+
+/// Bytes of the tag behind each datagram.
+const TAG: usize = 16;
+
+/// Paths whose answer is one message; `/peer/run` answers with frames.
+const POSTS: &[&str] = &[
+    "/peer/acquire",
+    "/peer/call",
+    "/peer/claims",
+    "/peer/fold",
+    "/peer/hold",
+    "/peer/once",
+    "/peer/prefill",
+];
+
+fn beat(from: &str) -> Beat {
+    Beat {
+        echo: 1,
+        echo_incarnation: 1,
+        from: from.into(),
+        incarnation: 1,
+        leaving: true,
+        offset: 1_000,
+        sequence: 1,
+        settled: true,
+        time: 1,
+    }
+}
+
+fn call(service: &str, key: Option<&str>) -> Call {
+    Call {
+        attempt: 1,
+        body: "{}".into(),
+        deadline_ms: 1_000,
+        hops: u8::MAX,
+        key: key.map(str::to_owned),
+        name: "look".into(),
+        request: 1,
+        service: service.into(),
+        target: None,
+        workspace: "workspace-0".into(),
+    }
+}
+
+fn run(target: &str) -> Run {
+    Run {
+        adapter: None,
+        attempt: 1,
+        context: Vec::new(),
+        deadline_ms: u64::MAX,
+        hops: 2,
+        max_tokens: 2,
+        model: "resin".into(),
+        prefix: Vec::new(),
+        prompt: "hello".into(),
+        request: 1,
+        start: u64::MAX,
+        target: target.into(),
+        weight: 0,
+        workspace: "workspace-0".into(),
+    }
+}
+
+fn sealed(key: &str, beat: &Beat) -> Vec<u8> {
+    let mut bytes = rmp_serde::to_vec(beat).unwrap();
+    let mut mac = Hmac::<Sha256>::new_from_slice(key.as_bytes()).unwrap();
+    mac.update(&bytes);
+    bytes.extend_from_slice(&mac.finalize().into_bytes()[..TAG]);
+    bytes
+}
+
+async fn wrong_keys(fleet: &Fleet, entry: SocketAddr) {
+    let key = fleet.peer_key();
+    let cut = &key[..key.len() - 1];
+    let changed = key.replace('p', "q");
+    let more = format!("{key}x");
+    for path in POSTS
+        .iter()
+        .chain(GETS)
+        .chain(&["/peer/run", "/peer/", "/peer/none"])
+    {
+        for method in ["GET", "POST"] {
+            for headers in [
+                &[][..],
+                &[("x-peer-key", "")],
+                &[("x-peer-key", cut)],
+                &[("x-peer-key", changed.as_str())],
+                &[("x-peer-key", more.as_str())],
+                &[("authorization", "Bearer key-0")],
+            ] {
+                let seen = send(entry, method, path, headers, wire::encode(&())).await;
+                assert_eq!(
+                    seen.error(),
+                    row("unauthorized"),
+                    "{method} {path} {headers:?}"
+                );
+            }
+        }
+    }
+}
+
+async fn malformed(fleet: &Fleet, entry: SocketAddr) {
+    let headers = [("x-peer-key", fleet.peer_key()), ("x-time", "soon")];
+    let whole = wire::encode(&run("engine-north-0"));
+    let messages = [
+        &b""[..],
+        b"\xc1",
+        b"\xa5ab",
+        b"\x91\xc0",
+        b"\xdf\xff\xff\xff\xff",
+        b"\xc6\xff\xff\xff\xff",
+        b"{\"attempt\":1}",
+        &whole[..whole.len() - 1],
+        &[0x91; 100_000],
+    ];
+    for bytes in messages {
+        for path in POSTS {
+            let seen = send(entry, "POST", path, &headers, bytes).await;
+            let answer: Answer<Value> = wire::decode(&seen.body).unwrap();
+            let kind = answer.map_err(|failure| Error::from(failure).kind());
+            assert_eq!(
+                (seen.status, kind),
+                (200, Err(Kind::BadRequest)),
+                "{path} {bytes:.20?}"
+            );
+        }
+        let seen = send(entry, "POST", "/peer/run", &headers, bytes).await;
+        assert_eq!(seen.error(), row("bad_request"), "{bytes:.20?}");
+    }
+    for (method, path) in [
+        ("POST", "/peer/status"),
+        ("GET", "/peer/run"),
+        ("PUT", "/peer/none"),
+    ] {
+        let seen = send(entry, method, path, &headers, "").await;
+        assert_eq!(seen.error(), row("bad_request"), "{method} {path}");
+    }
+    let large = vec![0; 10 << 20];
+    let seen = send(entry, "POST", "/peer/run", &headers, large).await;
+    assert_eq!(seen.error(), row("too_large"));
+}
+
+/// Messages of the right shape that make no sense.
+async fn senseless(fleet: &Fleet, entry: SocketAddr) {
+    let headers = [("x-peer-key", fleet.peer_key()), ("x-time", "1")];
+    for (path, message, kind) in [
+        ("/peer/call", call("seats", None), Kind::BadRequest),
+        ("/peer/once", call("seats", None), Kind::BadRequest),
+        (
+            "/peer/once",
+            call("seats", Some("\u{e9}")),
+            Kind::BadRequest,
+        ),
+        ("/peer/once", call("seats", Some("1-a")), Kind::KeyExpired),
+    ] {
+        let seen = send(entry, "POST", path, &headers, wire::encode(&message)).await;
+        let answer: Answer<wire::Reply> = wire::decode(&seen.body).unwrap();
+        let kind = Err(kind);
+        assert_eq!(answer.map_err(|failure| failure.kind), kind, "{message:?}");
+    }
+    for target in ["", "none", "entry-north-0"] {
+        let seen = send(
+            entry,
+            "POST",
+            "/peer/run",
+            &headers,
+            wire::encode(&run(target)),
+        )
+        .await;
+        let mut body = &seen.body[..];
+        let frame = wire::unpack(&mut body).await.unwrap().unwrap();
+        assert!(matches!(frame.body, Body::Fail { .. }), "{frame:?}");
+    }
+}
+
+async fn status(fleet: &Fleet, entry: SocketAddr) -> Value {
+    let headers = [("x-peer-key", fleet.peer_key())];
+    let seen = send(entry, "GET", "/peer/status", &headers, "").await;
+    serde_json::from_slice(&seen.body).unwrap()
+}
+
+async fn heartbeats(fleet: &Fleet, entry: SocketAddr) {
+    let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
+    let before = status(fleet, entry).await;
+    let good = sealed(fleet.peer_key(), &beat("ghost"));
+    let mut flipped = good.clone();
+    flipped[0] ^= 1;
+    let mut padded = good.clone();
+    padded.push(0);
+    for name in ["ghost", "entry-north-0", "entry-north-1"] {
+        socket
+            .send_to(&sealed("another key", &beat(name)), entry)
+            .unwrap();
+        socket.send_to(&sealed("", &beat(name)), entry).unwrap();
+        socket
+            .send_to(&rmp_serde::to_vec(&beat(name)).unwrap(), entry)
+            .unwrap();
+    }
+    for length in 0..good.len() {
+        socket.send_to(&good[..length], entry).unwrap();
+    }
+    for datagram in [flipped, padded, vec![0; 2_000], vec![0xff; 60_000]] {
+        socket.send_to(&datagram, entry).unwrap();
+    }
+    Timer::after(Duration::from_millis(500)).await;
+    assert_eq!(status(fleet, entry).await, before);
+    // The same heartbeat with a whole tag counts, so the ones above were refused for their tags.
+    socket.send_to(&good, entry).unwrap();
+    until(async || status(fleet, entry).await != before).await;
+}
+
+#[test]
+fn bad_peer() {
+    smol::block_on(async {
+        let fleet = fleet(2).await;
+        let entry = fleet.entries()[0];
+        serves(&fleet).await;
+        let before = ran(&fleet).await;
+        wrong_keys(&fleet, entry).await;
+        malformed(&fleet, entry).await;
+        senseless(&fleet, entry).await;
+        assert_eq!(ran(&fleet).await, before);
+        // The highest possible numbers in a message of a peer run, and overflow nothing.
+        let headers = [
+            ("x-peer-key", fleet.peer_key()),
+            ("x-time", "18446744073709551615"),
+        ];
+        for (target, ..) in fleet.engines() {
+            let body = wire::encode(&run(&target));
+            for entry in fleet.entries() {
+                send(entry, "POST", "/peer/run", &headers, body.clone()).await;
+            }
+        }
+        serves(&fleet).await;
+        heartbeats(&fleet, entry).await;
+        assert_eq!(panics(), 0);
+    });
+}
+
+/// Guards against a response that is put together from frames of two attempts, or from late ones.
+#[test]
+fn wrong_frames() {
+    let frame = |attempt, sequence, index| Frame {
+        attempt,
+        body: Body::Token {
+            index,
+            text: "a".into(),
+        },
+        sequence,
+        time: 0,
+    };
+    for (frame, accepted) in [
+        (frame(7, 1, 4), true),
+        (frame(8, 1, 4), false),
+        (frame(7, 0, 4), false),
+        (frame(7, 2, 4), false),
+        (frame(7, 1, 3), false),
+        (frame(7, 1, 5), false),
+    ] {
+        let mut check = Check::new(7, 3);
+        check.accept(&self::first(&frame)).unwrap();
+        let outcome = check.accept(&frame).map_err(|error| error.kind());
+        assert_eq!(outcome.is_ok(), accepted, "{frame:?}");
+        assert!(accepted || outcome == Err(Kind::UpstreamFailed));
+    }
+    let mut last = Check::new(7, u64::MAX);
+    last.accept(&frame(7, 0, u64::MAX)).unwrap_err();
+}
+
+/// The frame with which the stream of `frame` starts.
+fn first(frame: &Frame) -> Frame {
+    Frame {
+        attempt: 7,
+        body: Body::Token {
+            index: 3,
+            text: "a".into(),
+        },
+        sequence: 0,
+        time: frame.time,
+    }
+}
+
+/// Guards against memory that a length alone takes, and against cut frames that count as an end.
+#[test]
+fn bad_streams() {
+    smol::block_on(async {
+        let limit = wire::FRAME_LIMIT as u32;
+        for bytes in [
+            &[0][..],
+            &[0, 0, 0, 2, 0x80],
+            &[0, 0, 0, 1, 0xc1],
+            &(limit + 1).to_be_bytes(),
+            &u32::MAX.to_be_bytes(),
+        ] {
+            let error = wire::unpack(&mut &bytes[..]).await.unwrap_err();
+            assert_eq!(error.kind(), Kind::UpstreamFailed);
+        }
+        assert_eq!(wire::unpack(&mut &[][..]).await.unwrap(), None);
+    });
+}
