daemon: Keep callers' input out of event lines

Cause: messages of `bad_request` and `forbidden` quote what the caller sent: a header value, a JSON value of the wrong type, a model name of any length. The event lines `refused`, `ended`, `call_ended` and `attempt_failed` carried them as `reason`. tests/no_secrets.rs found the line "reason=`x-deadline-ms` is `prompt-text-5c2e`, must be a number".

Change: `Error::reason` is empty for these kinds; the caller's answer still names the input.

--- a/src/daemon/api/answer.rs
+++ b/src/daemon/api/answer.rs
@@ -96,7 +96,7 @@
             "ended",
             request = hex(self.id),
             outcome = kind.map_or("ok", Kind::name),
-            reason = error.map_or("", Error::message),
+            reason = error.map_or("", Error::reason),
             elapsed_ms = elapsed.as_millis() as u64
         );
     }
--- a/src/daemon/api/completion.rs
+++ b/src/daemon/api/completion.rs
@@ -49,7 +49,7 @@
                 state.source,
                 "refused",
                 kind = error.kind().name(),
-                reason = error.message()
+                reason = error.reason()
             );
             failed(&error)
         }
--- a/src/daemon/api/service.rs
+++ b/src/daemon/api/service.rs
@@ -47,7 +47,7 @@
         service = service,
         call = name,
         outcome = kind.map_or("ok", Kind::name),
-        reason = outcome.as_ref().err().map_or("", Error::message),
+        reason = outcome.as_ref().err().map_or("", Error::reason),
         elapsed_ms = state.clock.now().saturating_sub(start).as_millis() as u64
     );
     match outcome {
--- a/src/daemon/serve/run.rs
+++ b/src/daemon/serve/run.rs
@@ -39,7 +39,7 @@
             attempt = hex(run.attempt),
             target = run.target.as_str(),
             kind = error.kind().name(),
-            reason = error.message()
+            reason = error.reason()
         );
         let load = slot.load(state.clock.now());
         output.fail(&error, Some(load)).await;
--- a/src/error/mod.rs
+++ b/src/error/mod.rs
@@ -86,6 +86,14 @@
         message
     }
 
+    /// The message for logs; empty if messages of the kind quote what the caller sent.
+    pub fn reason(&self) -> &str {
+        match self.kind() {
+            Kind::BadRequest | Kind::Forbidden => "",
+            _ => self.message(),
+        }
+    }
+
     /// Time after which a repeat may have a chance; given for each retriable kind.
     pub fn wait(&self) -> Option<Duration> {
         let Error::Failed(kind, _, after) = self;
--- a/tests/guard/mod.rs
+++ b/tests/guard/mod.rs
@@ -89,8 +89,11 @@
         .iter()
         .map(|byte| format!("{byte:02x}"))
         .collect();
-    let body = json!({"grants": grants, "keys": [digest]});
-    fleet.publish(Kind::Workspace, key, body).await.unwrap();
+    let body = json!({"grants": grants, "keys": [&digest]});
+    fleet
+        .publish(Kind::Workspace, &digest[..8], body)
+        .await
+        .unwrap();
     let bearer = format!("Bearer {key}");
     let headers = [("authorization", bearer.as_str())];
     for entry in fleet.entries() {
