settings: Name the key of each fault and refuse peer keys that HTTP changes

Cause: type errors and faults of syntax named the line, not the key (`listen = "localhost"` gave "invalid socket address syntax"). A peer key with characters outside ASCII passed the check and then panicked where it is put into a header; one with a space at its end never compares equal, since HTTP strips it.

Change: a fault on a line that sets a key names the key. Peer keys must be visible ASCII with spaces only within.

--- a/src/settings/check.rs
+++ b/src/settings/check.rs
@@ -86,6 +86,11 @@
         "peer_key",
         format!("must have at least {PEER_KEY_BYTES} bytes"),
     )?;
+    checker.ensure(
+        is_header(&settings.peer_key),
+        "peer_key",
+        "must have only visible ASCII characters, and spaces within",
+    )?;
     checker.ensure(
         POLICIES.contains(&settings.policy.as_str()),
         "policy",
@@ -156,6 +161,18 @@
     checker.range("prefill_rate", queue.prefill_rate, 1, 100_000_000)
 }
 
+/// Whether a key arrives unchanged as the value of an HTTP header.
+fn is_header(key: &str) -> bool {
+    key.trim() == key && key.bytes().all(|byte| (b' '..=b'~').contains(&byte))
+}
+
+/// Key that is set on the line of `offset`.
+pub(super) fn key_at(text: &str, offset: usize) -> Option<&str> {
+    let line = text.lines().nth(line_at(text, offset) - 1)?;
+    let (key, _) = line.split_once('=')?;
+    Some(key.trim()).filter(|key| !key.is_empty())
+}
+
 pub(super) fn line_at(text: &str, offset: usize) -> usize {
     let end = offset.min(text.len());
     text.as_bytes()[..end]
--- a/src/settings/file.rs
+++ b/src/settings/file.rs
@@ -3,7 +3,7 @@
 
 use serde::Deserialize;
 
-use super::check::line_at;
+use super::check::{key_at, line_at};
 use super::{Error, Limits, Network, Queue, Settings};
 use crate::event;
 
@@ -67,10 +67,19 @@
     slack: Option<bool>,
 }
 
+/// Puts the key in front of a message that does not name it.
+fn describe(message: &str, key: Option<&str>) -> String {
+    match key.map(|key| format!("`{key}`")) {
+        Some(key) if !message.contains(&key) => format!("{key}: {message}"),
+        Some(_) | None => message.into(),
+    }
+}
+
 pub(super) fn parse(name: &str, text: &str) -> Result<Settings, Error> {
     let file: File = toml::from_str(text).map_err(|error| {
-        let line = error.span().map_or(1, |span| line_at(text, span.start));
-        Error::Syntax(name.into(), line, error.message().into())
+        let start = error.span().map_or(0, |span| span.start);
+        let message = describe(error.message(), key_at(text, start));
+        Error::Syntax(name.into(), line_at(text, start), message)
     })?;
     Ok(Settings {
         domain: file.domain,
