owner: Let peers take over from an isolated instance

Cause: an instance that one peer could not hear stopped, but stayed the candidate for all others, so its targets had no owner until the cut healed; and a process that resumed from a pause granted nothing for a lease. Change: an isolated instance starts a new quarantine, which its heartbeats show, and they name the acquire sequence up to which all claims are dropped, so that records of old grants do not block others. Only a process that has just started refuses to grant, since only it lacks its records. Conclusion: a cut in one direction costs one handover instead of an outage.

--- a/src/owner/guards.rs
+++ b/src/owner/guards.rs
@@ -11,7 +11,7 @@
     pub incarnation: bool,
     /// A process that was paused loses what it owned.
     pub pause: bool,
-    /// A new or paused process neither owns nor grants for one lease.
+    /// A new or paused process owns nothing for one lease, and a new one grants nothing to new owners.
     pub quarantine: bool,
     /// A grant counts only for the acquire sequence that it repeats.
     pub sequence: bool,
--- a/src/owner/peer.rs
+++ b/src/owner/peer.rs
@@ -9,6 +9,8 @@
 /// What a table knows about one other instance of the domain.
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
 pub(super) struct Peer {
+    /// Acquire sequence up to which the peer has dropped all claims.
+    pub(super) dropped: u64,
     /// Send time of the most recent own heartbeat that the peer has echoed.
     pub(super) echoed: Option<Duration>,
     /// Time at which the last heartbeat was received.
@@ -30,6 +32,7 @@
 impl Peer {
     pub(super) fn new(id: InstanceId) -> Self {
         Self {
+            dropped: 0,
             echoed: None,
             heard: None,
             id,
@@ -63,6 +66,7 @@
         if beat.sequence <= self.received {
             return false;
         }
+        self.dropped = beat.dropped;
         self.heard = Some(now);
         self.leaving = beat.leaving;
         self.offset = beat.offset;
@@ -111,6 +115,7 @@
         if self.retired.len() > RETIRED {
             self.retired.remove(0);
         }
+        self.dropped = 0;
         self.echoed = None;
         self.incarnation = incarnation;
         self.received = 0;
--- a/src/owner/table.rs
+++ b/src/owner/table.rs
@@ -15,6 +15,8 @@
 pub struct Table {
     /// Start of the current quarantine.
     born: Duration,
+    /// Last acquire sequence before the last pause or isolation.
+    dropped: u64,
     entries: Vec<Entry>,
     incarnation: Incarnation,
     leaving: bool,
@@ -24,6 +26,8 @@
     /// Last acquire sequence that was used.
     sequence: u64,
     settings: Settings,
+    /// Start of the process.
+    started: Duration,
     /// Time of the last tick.
     ticked: Duration,
     /// Instances that may be candidates, sorted, as of the last command.
@@ -40,6 +44,7 @@
     ) -> Self {
         Self {
             born: now,
+            dropped: 0,
             entries: Vec::new(),
             incarnation,
             leaving: false,
@@ -48,6 +53,7 @@
             peers: Vec::new(),
             sequence: 0,
             settings,
+            started: now,
             ticked: now,
             view: Vec::new(),
         }
@@ -89,11 +95,13 @@
 
     /// Builds the next heartbeat to `to` and records its send time.
     pub fn beat(&mut self, to: &InstanceId, now: Duration) -> Beat {
+        let dropped = self.dropped;
         let settled = self.announced(now);
         let lease = self.settings.lease;
         let peer = self.peer_mut(to);
         let sequence = peer.send(lease, now);
         Beat {
+            dropped,
             echo: peer.received,
             echo_incarnation: peer.incarnation,
             from: self.me.clone(),
@@ -217,7 +225,7 @@
             .map(|peer| peer.id.clone())
     }
 
-    /// Whether the quarantine after a start or a pause is over.
+    /// Whether the quarantine after a start, a pause or an isolation is over.
     pub fn settled(&self, now: Duration) -> bool {
         !self.settings.guards.quarantine || now.saturating_sub(self.born) >= self.settings.lease
     }
@@ -227,9 +235,7 @@
         let mut actions = Vec::new();
         self.resume(now, &mut actions);
         self.forget(now);
-        if !self.echoed(now) {
-            self.drop_claims(&mut actions);
-        }
+        self.isolate(now, &mut actions);
         self.drop_unwitnessed(now, &mut actions);
         self.refresh(now);
         actions
@@ -325,6 +331,7 @@
 
     /// Ends all attempts and ownerships.
     fn drop_claims(&mut self, actions: &mut Vec<Action>) {
+        self.dropped = self.sequence;
         for entry in &mut self.entries {
             if entry.drop_claim() {
                 actions.push(lost(entry));
@@ -388,25 +395,25 @@
     }
 
     /// Drops peers that are silent for long, grants of peers that are dead or have restarted, and records of grants to
-    /// such peers.
+    /// such peers or to peers that have dropped their claims.
     fn forget(&mut self, now: Duration) {
         let horizon = self.settings.lease * FORGET_LEASES;
         self.peers.retain(|peer| peer.active(horizon, now));
-        let lease = self.settings.lease;
-        let check = self.settings.guards.incarnation;
+        let (check, lease) = (self.settings.guards.incarnation, self.settings.lease);
         let peers = &self.peers;
         let alive = |id: &InstanceId, incarnation: Incarnation| {
-            find(peers, id).is_some_and(|peer| {
+            find(peers, id).filter(|peer| {
                 peer.heard_within(lease, now) && (!check || peer.incarnation == incarnation)
             })
         };
         for entry in &mut self.entries {
             entry
                 .grants
-                .retain(|(release, _)| alive(&release.from, release.incarnation));
-            entry
-                .given
-                .take_if(|given| !alive(&given.to, given.incarnation));
+                .retain(|(release, _)| alive(&release.from, release.incarnation).is_some());
+            entry.given.take_if(|given| {
+                alive(&given.to, given.incarnation)
+                    .is_none_or(|peer| given.sequence <= peer.dropped)
+            });
         }
         self.entries
             .retain(|entry| entry.wanted || entry.given.is_some());
@@ -448,11 +455,11 @@
         };
         let asker = candidate.as_ref() == Some(&message.from);
         let Some(entry) = self.entry(&ask.target) else {
-            return ask.owned || (asker && self.settled(now));
+            return ask.owned || (asker && self.remembers(now));
         };
         let may = match ask.owned {
             true => asker || entry.phase == Phase::Idle,
-            false => asker && self.settled(now),
+            false => asker && self.remembers(now),
         };
         may && self.released(entry, message, ask)
     }
@@ -467,7 +474,7 @@
     /// quarantine, and this instance owns nothing that their appearance could stop.
     fn introduce(&mut self, message: &Acquire, now: Duration) {
         let registers = message.targets.iter().any(|ask| ask.owned);
-        if !registers || self.settled(now) || message.from == self.me {
+        if !registers || self.remembers(now) || message.from == self.me {
             return;
         }
         self.peer_mut(&message.from)
@@ -475,6 +482,18 @@
         self.refresh(now);
     }
 
+    /// While a settled peer does not hear this instance: drops all claims and starts a new quarantine, so that
+    /// heartbeats tell the others that they may take over.
+    fn isolate(&mut self, now: Duration, actions: &mut Vec<Action>) {
+        if self.echoed(now) {
+            return;
+        }
+        self.drop_claims(actions);
+        if self.announced(now) {
+            self.born = now;
+        }
+    }
+
     fn live_peers(&self, now: Duration) -> impl Iterator<Item = &Peer> {
         let lease = self.settings.lease;
         self.peers
@@ -539,6 +558,11 @@
         })
     }
 
+    /// Whether the process has run for a lease, so that its records of grants are complete.
+    fn remembers(&self, now: Duration) -> bool {
+        !self.settings.guards.quarantine || now.saturating_sub(self.started) >= self.settings.lease
+    }
+
     /// After a pause: drops all claims and starts a new quarantine. Silence during the pause says nothing about peers,
     /// so those that were live get a new lease; the records of grants to them stay.
     fn resume(&mut self, now: Duration, actions: &mut Vec<Action>) {
--- a/tests/owner_lease.rs
+++ b/tests/owner_lease.rs
@@ -117,6 +117,16 @@
     }
 }
 
+#[test]
+fn isolated_yields() {
+    let mut net = Net::new(&["a", "b", "c"], TARGETS);
+    net.run(4000);
+    net.cut("a", "b");
+    net.run(8000);
+    assert_eq!(net.owned("a"), 0, "`b` does not hear `a`");
+    assert_eq!(net.owned("b") + net.owned("c"), TARGETS);
+}
+
 #[test]
 fn pair_cut() {
     let mut net = Net::new(&["a", "b", "c"], TARGETS);
@@ -135,6 +145,7 @@
 fn stale_beats() {
     let mut table = Table::new("a".into(), 1, Settings::default(), Duration::ZERO);
     let beat = |incarnation, sequence, offset| Beat {
+        dropped: 0,
         echo: 0,
         echo_incarnation: 0,
         from: "b".into(),
