owner: Count heartbeats over all receivers

Cause: the count was kept per peer, so it started anew after a peer had been forgotten, and that peer dropped the new heartbeats as late ones. Change: one count per process. Conclusion: instances find each other again after a long separation.

--- a/src/owner/beat.rs
+++ b/src/owner/beat.rs
@@ -19,7 +19,7 @@
     pub leaving: bool,
     /// Offset of the records that are in force at the sender.
     pub offset: Offset,
-    /// Number of this heartbeat, from 1, counted per receiver.
+    /// Number of this heartbeat, from 1, counted over all receivers.
     pub sequence: u64,
     /// Whether the sender may own targets or will do so within the suspicion window.
     pub settled: bool,
--- a/src/owner/peer.rs
+++ b/src/owner/peer.rs
@@ -24,8 +24,6 @@
     retired: Vec<Incarnation>,
     /// Own heartbeats to the peer that are younger than a lease: sequence and send time.
     sent: Vec<(u64, Duration)>,
-    /// Sequence of the last own heartbeat to the peer.
-    sequence: u64,
     pub(super) settled: bool,
 }
 
@@ -42,7 +40,6 @@
             received: 0,
             retired: Vec::new(),
             sent: Vec::new(),
-            sequence: 0,
             settled: false,
         }
     }
@@ -93,12 +90,10 @@
         self.heard.is_some_and(|at| now.saturating_sub(at) < window)
     }
 
-    /// Records a heartbeat to the peer and returns its sequence.
-    pub(super) fn send(&mut self, lease: Duration, now: Duration) -> u64 {
+    /// Records a heartbeat to the peer.
+    pub(super) fn send(&mut self, sequence: u64, lease: Duration, now: Duration) {
         self.sent.retain(|(_, at)| now.saturating_sub(*at) < lease);
-        self.sequence += 1;
-        self.sent.push((self.sequence, now));
-        self.sequence
+        self.sent.push((sequence, now));
     }
 
     fn echo(&mut self, sequence: u64) {
--- a/src/owner/table.rs
+++ b/src/owner/table.rs
@@ -13,6 +13,8 @@
 /// Ownership of targets as one instance sees it.
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
 pub struct Table {
+    /// Heartbeats sent. One count for all peers, so that it never starts anew for a peer that was forgotten meanwhile.
+    beats: u64,
     /// Start of the current quarantine.
     born: Duration,
     /// Last acquire sequence before the last pause or isolation.
@@ -43,6 +45,7 @@
         now: Duration,
     ) -> Self {
         Self {
+            beats: 0,
             born: now,
             dropped: 0,
             entries: Vec::new(),
@@ -98,8 +101,10 @@
         let dropped = self.dropped;
         let settled = self.announced(now);
         let lease = self.settings.lease;
+        self.beats += 1;
+        let sequence = self.beats;
         let peer = self.peer_mut(to);
-        let sequence = peer.send(lease, now);
+        peer.send(sequence, lease, now);
         Beat {
             dropped,
             echo: peer.received,
--- a/tests/owner_lease.rs
+++ b/tests/owner_lease.rs
@@ -176,3 +176,23 @@
         "stale heartbeats renew nothing"
     );
 }
+
+#[test]
+fn forgotten_peer() {
+    let mut a = Table::new("a".into(), 1, Settings::default(), Duration::ZERO);
+    let mut b = Table::new("b".into(), 2, Settings::default(), Duration::ZERO);
+    let mut now = Duration::ZERO;
+    for _ in 0..5 {
+        let beat = a.beat(&"b".into(), now);
+        b.hear(&beat, now);
+    }
+    for _ in 0..700 {
+        now += Duration::from_millis(100);
+        a.tick(now);
+        b.tick(now);
+        b.beat(&"a".into(), now);
+    }
+    let beat = a.beat(&"b".into(), now);
+    b.hear(&beat, now);
+    assert_eq!(b.live(now), ["a"], "numbers go on after a long silence");
+}
