--- a/src/daemon/mod.rs
+++ b/src/daemon/mod.rs
@@ -123,12 +123,22 @@
         let until = now + DRAIN_LIMIT;
         // Callers that the balancer still sends here are served until the heartbeats have told every peer.
         Timer::after(state.settings.network.heartbeat * 2).await;
-        while (state.active() > 0 || self.is_busy()) && state.clock.now() < until {
+        let handed = now + state.settings.network.lease * 2;
+        while (state.active() > 0 || self.is_busy() || self.is_owner_before(handed))
+            && state.clock.now() < until
+        {
             Timer::after(DRAIN_INTERVAL).await;
         }
         event!(state.source, "stopped", requests = state.active());
     }
 
+    /// Whether a live peer still has to take over targets; it is waited for until `end`.
+    fn is_owner_before(&self, end: Duration) -> bool {
+        let now = self.state.clock.now();
+        let peers = lock(&self.state.owner).live(now);
+        now < end && !peers.is_empty() && self.owned_targets() > 0
+    }
+
     /// Whether work of other instances is still queued or running here.
     fn is_busy(&self) -> bool {
         let state = &self.state;
