Move waiting chunks and reservations when a target changes hands

Cause: found by reading. A prompt that waited between two chunks on a target that left, or got another owner, waited there until its deadline. The old owner of a gang's target let the reservation expire and dropped the handle that the new owner went on using. Change: a target that is lost or leaves service evicts everything queued, with the handle; reservations are handed over without dropping handles, and the coordinator renews them at the new owner; a piece of a gang is sent again after a handover only if nothing of it was written. Conclusion: correct by reading; the failure tests have to show it.

--- a/src/daemon/long.rs
+++ b/src/daemon/long.rs
@@ -344,8 +344,9 @@
         };
         let (state, events) = (self.state.clone(), self.events.0.clone());
         let (fault, tickets) = (self.fault.clone(), self.tickets.clone());
+        let hold = self.message(part, false);
         self.prefill = Some(smol::spawn(async move {
-            let event = match serve::segment(&state, segment).await {
+            let event = match prefill(&state, segment, hold).await {
                 Ok(ticket) => {
                     lock(&tickets)[part] = ticket;
                     Event::Prefilled {
@@ -379,6 +380,23 @@
     }
 }
 
+/// Prefills a piece. If the target gets another owner before a byte of it was written, the new owner gets the
+/// reservation and then the piece.
+async fn prefill(state: &Arc<State>, segment: Segment, hold: Hold) -> Result<String, Error> {
+    let end = state.clock.now() + serve::HOLD_LIFETIME;
+    loop {
+        let error = match serve::segment(state, segment.clone()).await {
+            Ok(ticket) => return Ok(ticket),
+            Err(error) => error,
+        };
+        if error.kind() != Kind::Moved || state.clock.now() >= end {
+            return Err(error);
+        }
+        Timer::after(REPEAT_PAUSE).await;
+        let _ = serve::hold(state, hold.clone()).await;
+    }
+}
+
 fn note(fault: &Mutex<Option<Error>>, error: Error) {
     lock(fault).get_or_insert(error);
 }
--- a/src/daemon/serve/segment.rs
+++ b/src/daemon/serve/segment.rs
@@ -53,9 +53,10 @@
     }
     let attempt = unguessable();
     let ticket = Ticket::new(state, &slot, item(state, segment, attempt))?;
+    let mut written = false;
     loop {
-        // The piece may go out in several chunks; each extends the handle.
-        let dispatch = ticket.turn().await?;
+        // The piece may go out in several chunks; each extends the handle, so that none may be sent again.
+        let dispatch = ticket.turn().await.map_err(|error| spent(written, error))?;
         let completion = completion(segment, attempt, &dispatch);
         event!(
             state.source,
@@ -67,7 +68,10 @@
             from = dispatch.from,
             to = dispatch.to
         );
-        let stream = engine::send(state, &ticket, target, address, &completion).await?;
+        let stream = engine::send(state, &ticket, target, address, &completion)
+            .await
+            .map_err(|error| spent(written, error))?;
+        written = true;
         engine::prefill(target, attempt, stream).await?;
         if dispatch.last {
             break;
@@ -82,6 +86,14 @@
     })
 }
 
+/// After a first chunk the piece as a whole cannot be said not to have been run.
+fn spent(written: bool, error: Error) -> Error {
+    if written {
+        return Error::new(Kind::UpstreamFailed, error.message());
+    }
+    error
+}
+
 fn completion(segment: &Segment, attempt: u64, dispatch: &crate::target::Dispatch) -> Completion {
     let part = format!("{:016x}", segment.part);
     let mut context: Vec<String> = segment
--- a/src/daemon/serve/slot.rs
+++ b/src/daemon/serve/slot.rs
@@ -168,14 +168,30 @@
         }
     }
 
-    /// Sends queued work away; work that runs stays.
-    pub(crate) fn drain(&self, state: &State) -> usize {
+    /// Sends queued work away, also what waits between two chunks; work at the target stays.
+    pub(crate) fn evict(&self, state: &State) -> usize {
         let mut inner = lock(&self.inner);
-        let drained = inner.scheduler.drain(state.clock.now());
-        for attempt in &drained {
+        let evicted = inner.scheduler.evict(state.clock.now());
+        for attempt in &evicted {
             inner.tell(*attempt, Turn::Moved);
         }
-        drained.len()
+        evicted.len()
+    }
+
+    /// Gives all reservations up without dropping their handles: the next owner takes them over with the next renewal,
+    /// or drops what is not renewed.
+    pub(crate) fn hand_over(&self) {
+        let mut inner = lock(&self.inner);
+        let parts: Vec<AttemptId> = inner
+            .holds
+            .holds()
+            .iter()
+            .map(|hold| hold.request)
+            .collect();
+        for part in parts {
+            inner.holds.release(part);
+            inner.close(part);
+        }
     }
 
     /// Notes whether the target's streams were read since this instance became its owner.
--- a/src/daemon/task/beat.rs
+++ b/src/daemon/task/beat.rs
@@ -144,7 +144,8 @@
     let moved = match state.existing(target) {
         Some(slot) => {
             slot.set_checked(false);
-            slot.drain(state)
+            slot.hand_over();
+            slot.evict(state)
         }
         None => 0,
     };
--- a/src/daemon/task/pump.rs
+++ b/src/daemon/task/pump.rs
@@ -61,7 +61,7 @@
         }
     });
     if !serving {
-        let moved = slot.drain(state);
+        let moved = slot.evict(state);
         if moved > 0 {
             event!(
                 state.source,
--- a/src/target/scheduler.rs
+++ b/src/target/scheduler.rs
@@ -136,6 +136,12 @@
         self.take(|entry| !entry.started)
     }
 
+    /// Removes and returns everything that is queued, also what waits between two pieces. The memory of the latter
+    /// counts as free, so the caller drops what the engine keeps of it.
+    pub fn evict(&mut self, _now: Duration) -> Vec<AttemptId> {
+        self.take(|_| true)
+    }
+
     /// Removes and returns what is queued, between two pieces included, and past its deadline.
     pub fn expire(&mut self, now: Duration) -> Vec<AttemptId> {
         self.take(|entry| entry.item.deadline <= now)
