Add the load generator

`jujubehook load` sends arrivals of a fixed seed in open loop to an embedded fleet of today's size or to given instances, counts latency from the intended arrival, checks every answer against the engine's text function, the count and the own sale, and compares sales with the executions that the services counted.

--- a/src/command/mod.rs
+++ b/src/command/mod.rs
@@ -9,6 +9,7 @@
 mod exit;
 mod folder;
 mod force;
+mod load;
 mod options;
 mod output;
 mod plan;
--- a/src/command/table.rs
+++ b/src/command/table.rs
@@ -1,4 +1,4 @@
-use super::{apply, check, demo, plan, show, status, timeline, Error};
+use super::{apply, check, demo, load, plan, show, status, timeline, Error};
 
 /// One subcommand.
 #[derive(Debug)]
@@ -33,6 +33,12 @@
         run: demo::run,
         summary: "run a small fleet in one process and show what it does",
     },
+    Command {
+        help: load::HELP,
+        name: "load",
+        run: load::run,
+        summary: "load a fleet and report what callers saw",
+    },
     Command {
         help: plan::HELP,
         name: "plan",
--- a/src/load/fleet.rs
+++ b/src/load/fleet.rs
@@ -41,6 +41,8 @@
     pub engine: engine::Settings,
     /// Engines in each domain.
     pub engines: usize,
+    /// Engines beyond those, one in each of the first domains.
+    pub extra_engines: usize,
     /// Instances in each domain.
     pub instances: usize,
     /// Model that all engines serve.
@@ -63,6 +65,7 @@
             domains: 3,
             engine: engine::Settings::default(),
             engines: 8,
+            extra_engines: 0,
             instances: 5,
             model: "resin".into(),
             network: settings::Network::default(),
@@ -104,7 +107,7 @@
         };
         fleet.publish_workspaces().await?;
         for domain in 0..fleet.settings.domains {
-            fleet.start_targets(&domain_name(domain)).await?;
+            fleet.start_targets(domain).await?;
         }
         for domain in 0..fleet.settings.domains {
             for _ in 0..fleet.settings.instances {
@@ -232,8 +235,10 @@
             .map(|_| ())
     }
 
-    async fn start_targets(&mut self, domain: &str) -> io::Result<()> {
-        for index in 0..self.settings.engines {
+    async fn start_targets(&mut self, domain: usize) -> io::Result<()> {
+        let extra = usize::from(domain < self.settings.extra_engines);
+        let domain = &domain_name(domain);
+        for index in 0..self.settings.engines + extra {
             let id = format!("engine-{domain}-{index}");
             let settings = engine::Settings {
                 model: self.settings.model.clone(),
--- a/src/load/mod.rs
+++ b/src/load/mod.rs
@@ -1,9 +1,37 @@
 //! Load generator, embedded fleet and report.
 
+mod arrival;
+mod balancer;
 mod caller;
 mod fleet;
+mod measure;
+mod outcome;
+mod plan;
+mod plot;
+mod profile;
+mod prompt;
+mod report;
+mod run;
+mod tally;
+mod usage;
 
+pub use arrival::Arrival;
+pub use arrival::Work;
 pub use caller::Answer;
 pub use caller::Caller;
 pub use fleet::Fleet;
 pub use fleet::Settings;
+pub use measure::measure;
+pub use plan::Plan;
+pub use plot::first_tokens;
+pub use plot::service;
+pub use profile::Profile;
+pub use report::Control;
+pub use report::Fault;
+pub use report::Point;
+pub use report::Report;
+pub use report::Row;
+pub use report::Sales;
+pub use report::Second;
+pub use report::Targets;
+pub use usage::Usage;
--- /dev/null
+++ b/tests/load_report.rs
@@ -0,0 +1,90 @@
+//! The load generator: its arrivals are a function of the seed, and its report finds no broken promise on a healthy
+//! fleet.
+
+use jujubehook::load::{measure, Plan, Profile, Settings, Work};
+use jujubehook::target::Class;
+
+/// Guards against comparisons of runs that had different arrivals.
+#[test]
+fn same_seed() {
+    let profile = Profile::default();
+    assert_eq!(profile.arrivals(), profile.arrivals());
+    let other = Profile {
+        seed: 2,
+        ..profile.clone()
+    };
+    assert_ne!(profile.arrivals(), other.arrivals());
+}
+
+/// Guards against a run without long prompts that differs in more than the long prompts.
+#[test]
+fn without_long() {
+    let profile = Profile::default();
+    let mut kept = profile.arrivals();
+    kept.retain(|arrival| arrival.class() != Some(Class::Long));
+    let short = Profile {
+        long: false,
+        ..profile.clone()
+    };
+    assert_eq!(short.arrivals(), kept);
+}
+
+/// Guards against a mix other than the stated one: 1 prompt in 50 above 100,000 tokens, two workspaces with half of it.
+#[test]
+fn stated_mix() {
+    let profile = Profile {
+        seconds: 2_000.0,
+        ..Profile::default()
+    };
+    let arrivals = profile.arrivals();
+    let lengths: Vec<u64> = arrivals
+        .iter()
+        .filter_map(|arrival| match arrival.work {
+            Work::Prompt { tokens, .. } => Some(tokens),
+            Work::Question | Work::Sale { .. } => None,
+        })
+        .collect();
+    let share = |count: usize, total: usize| count as f64 / total as f64;
+    let huge = lengths.iter().filter(|tokens| **tokens > 100_000).count();
+    assert!((share(huge, lengths.len()) - 0.02).abs() < 0.002);
+    assert!(lengths
+        .iter()
+        .all(|tokens| (1_000..=1_000_000).contains(tokens)));
+    let large = arrivals.iter().filter(|one| one.workspace < 2).count();
+    assert!((share(large, arrivals.len()) - 0.5).abs() < 0.01);
+    assert!((arrivals.len() as f64 / 2_000.0 - profile.rate).abs() < 1.0);
+}
+
+/// Guards against wrong answers, crashes of cold engines and doubled or lost sales under an ordinary load, and against
+/// arrivals that the report does not count.
+#[test]
+fn small_fleet() {
+    let plan = Plan {
+        fleet: Settings {
+            domains: 2,
+            engines: 2,
+            instances: 2,
+            ..Settings::default()
+        },
+        profile: Profile {
+            long: false,
+            rate: 10.0,
+            seconds: 5.0,
+            ..Profile::default()
+        },
+        warm_up: 0.0,
+        ..Plan::default()
+    };
+    let report = smol::block_on(measure(&plan)).expect("the fleet starts");
+    assert_eq!(report.violations(), Vec::<String>::new());
+    let counted: usize = report.classes.iter().map(|row| row.arrivals).sum();
+    assert_eq!(counted, plan.profile.arrivals().len());
+    let ended: usize = report
+        .classes
+        .iter()
+        .map(|row| row.ok + row.late + row.refused + row.failed + row.wrong)
+        .sum();
+    assert_eq!(counted, ended);
+    assert!(report.row("short").is_some_and(|row| row.ok > 0));
+    assert!(report.sales.committed > 0);
+}
