Keep large request futures off the stack

A forwarded completion overflowed the 2 MiB stack of an executor thread in an unoptimized build and ended the daemon (`fatal runtime error: stack overflow`), also in `jujubehook demo`. Cause, from the frame sizes of the backtrace: the futures of the connection, the handler, the answer and the client exchange were nested by value, so that each level copied all those below it (up to 256 kB per frame, about 2 MB in all). Infinite recursion was ruled out: with a stack of 64 MiB the same run passed. The handler, the attempt and the client exchange are boxed now; the debug demo passes with a stack of 1 MiB and overflows at 512 KiB.

--- a/http/src/client.rs
+++ b/http/src/client.rs
@@ -150,7 +150,8 @@
 }
 
 async fn send(stream: TcpStream, request: Request) -> Result<Response, Error> {
-    async_h1::connect(stream, request)
+    // The exchange is a large future; on the heap it does not add to the stack of every caller.
+    Box::pin(async_h1::connect(stream, request))
         .await
         .map_err(|error| Error::Exchange(error.to_string()))
 }
--- a/http/src/server.rs
+++ b/http/src/server.rs
@@ -88,7 +88,8 @@
     let _ = stream.set_nodelay(true);
     let peer = Peer::new(stream.clone());
     let _ = async_h1::accept(stream, |request| {
-        let work = handler(request, peer.clone());
+        // Handlers are large futures; inside those of the connection they would be copied on the stack.
+        let work = Box::pin(handler(request, peer.clone()));
         async move { Ok(work.await) }
     })
     .await;
--- a/src/daemon/answer.rs
+++ b/src/daemon/answer.rs
@@ -104,7 +104,8 @@
     async fn step(&mut self) -> Result<Step, Error> {
         loop {
             let outcome = match self.frames.take() {
-                None => self.open().await,
+                // The attempts of a gang make a large future, which on the stack would overflow it.
+                None => Box::pin(self.open()).await,
                 Some(mut frames) => {
                     let body = match &self.gang {
                         None => frames.next(&self.state).await,
