--- a/src/daemon/serve/call.rs
+++ b/src/daemon/serve/call.rs
@@ -5,7 +5,7 @@
 use jujubehook_http::http_types::{mime, Method};
 use jujubehook_http::{read, within, Client, Connection};
 
-use super::engine::unreachable;
+use super::connect::connect;
 use super::ticket::Ticket;
 use super::Slot;
 use crate::daemon::client;
@@ -13,14 +13,11 @@
 use crate::error::{Error, Kind};
 use crate::event;
 use crate::event::hex;
-use crate::id::tokens;
+use crate::id::{tokens, TargetId};
 use crate::platform;
 use crate::target::Item;
 use crate::wire::{Call, Reply};
 
-/// Longest wait for a service to accept a connection.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
-
 /// Time that other hops need on top of the deadline to report it themselves.
 const FORWARD_GRACE: Duration = Duration::from_millis(300);
 
@@ -44,7 +41,7 @@
         .map_err(|error| lost(&call, error))
 }
 
-async fn local(state: &Arc<State>, target: &String, call: &Call) -> Result<Reply, Error> {
+async fn local(state: &Arc<State>, target: &TargetId, call: &Call) -> Result<Reply, Error> {
     if !state.in_service(target) {
         let message = format!("`{target}` takes no new work");
         return Err(Error::new(Kind::Moved, message));
@@ -54,19 +51,7 @@
     let ticket = Ticket::new(state, &slot, item(call, deadline))?;
     ticket.turn().await?;
     let address = state.address(target)?;
-    let connection = match within(CONNECT_TIMEOUT, Connection::open(address)).await {
-        Ok(connection) => connection,
-        Err(error) => {
-            unreachable(state, target);
-            let message = format!("cannot reach `{target}`: {error}");
-            return Err(Error::new(Kind::Unavailable, message));
-        }
-    };
-    // The process may have been paused since the queue gave the turn.
-    if !state.may_dispatch(target) {
-        let message = format!("`{target}` takes no new work here");
-        return Err(Error::new(Kind::Moved, message));
-    }
+    let connection = connect(state, target, address).await?;
     event!(
         state.source,
         "dispatch_call",
--- a/src/daemon/serve/engine.rs
+++ b/src/daemon/serve/engine.rs
@@ -1,20 +1,17 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
 
-use jujubehook_http::{within, Connection, Error as HttpError};
+use jujubehook_http::{within, Error as HttpError};
 
+use super::connect::{connect, unreachable};
 use super::output::Output;
 use super::ticket::Ticket;
-use crate::daemon::state::{lock, State};
+use crate::daemon::state::State;
 use crate::error::{Error, Kind};
 use crate::id::{AttemptId, TargetId};
 use crate::platform::{self, Completion, Engine};
 use crate::wire::{Body, Run};
 
-/// Longest wait for an engine to accept a connection.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
-
 /// Times that one stream is resumed after a lost connection.
 const RESUMES: u32 = 3;
 
@@ -34,19 +31,7 @@
     address: SocketAddr,
     completion: &Completion,
 ) -> Result<platform::Stream, Error> {
-    let connection = match within(CONNECT_TIMEOUT, Connection::open(address)).await {
-        Ok(connection) => connection,
-        Err(error) => {
-            unreachable(state, target);
-            let message = format!("cannot reach `{target}`: {error}");
-            return Err(Error::new(Kind::Unavailable, message));
-        }
-    };
-    // The process may have been paused since the queue gave the turn.
-    if !state.may_dispatch(target) {
-        let message = format!("`{target}` takes no new work here");
-        return Err(Error::new(Kind::Moved, message));
-    }
+    let connection = connect(state, target, address).await?;
     ticket.sent(address);
     let engine = Engine::new(&state.client, address);
     let stream = engine
@@ -126,15 +111,6 @@
     }
 }
 
-/// Notes that the target did not answer: it is cold when it returns.
-pub(super) fn unreachable(state: &Arc<State>, target: &TargetId) {
-    let now = state.clock.now();
-    lock(&state.outlier).record(target, false, now);
-    state
-        .slot(target)
-        .update(state, |scheduler, now| scheduler.chill(now));
-}
-
 async fn read(
     state: &Arc<State>,
     run: &Run,
--- a/src/daemon/serve/mod.rs
+++ b/src/daemon/serve/mod.rs
@@ -1,6 +1,7 @@
 //! The owner's side: queue, dispatch and relay of one target's work.
 
 mod call;
+mod connect;
 mod engine;
 mod handle;
 mod hold;
