--- a/src/owner/table.rs
+++ b/src/owner/table.rs
@@ -2,38 +2,33 @@
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use super::entry::Given;
-use super::{Acquire, Action, Ask, Beat, Entry, Grant, Holding, Peer, Phase, Release, Settings};
+use super::{Action, Beat, Entry, Peer, Phase, Settings};
 use crate::id::{Incarnation, InstanceId, Offset, TargetId};
 
-/// Leases of silence after which a peer is forgotten. Until then its incarnations and sequences are kept, so that its
-/// late heartbeats are recognized.
-const FORGET_LEASES: u32 = 20;
-
 /// Ownership of targets as one instance sees it.
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
 pub struct Table {
     /// Heartbeats sent. One count for all peers, so that it never starts anew for a peer that was forgotten meanwhile.
-    beats: u64,
+    pub(super) beats: u64,
     /// Start of the current quarantine.
-    born: Duration,
+    pub(super) born: Duration,
     /// Last acquire sequence before the last pause or isolation.
-    dropped: u64,
-    entries: Vec<Entry>,
-    incarnation: Incarnation,
-    leaving: bool,
-    me: InstanceId,
-    offset: Offset,
-    peers: Vec<Peer>,
+    pub(super) dropped: u64,
+    pub(super) entries: Vec<Entry>,
+    pub(super) incarnation: Incarnation,
+    pub(super) leaving: bool,
+    pub(super) me: InstanceId,
+    pub(super) offset: Offset,
+    pub(super) peers: Vec<Peer>,
     /// Last acquire sequence that was used.
-    sequence: u64,
-    settings: Settings,
+    pub(super) sequence: u64,
+    pub(super) settings: Settings,
     /// Start of the process.
-    started: Duration,
+    pub(super) started: Duration,
     /// Time of the last tick.
-    ticked: Duration,
+    pub(super) ticked: Duration,
     /// Instances that may be candidates, sorted, as of the last command.
-    view: Vec<InstanceId>,
+    pub(super) view: Vec<InstanceId>,
 }
 
 impl Table {
@@ -62,40 +57,6 @@
         }
     }
 
-    /// Answers a peer's request for grants. The caller stops dispatching to targets in `Lost` actions before it sends
-    /// the answer. `in_flight` gives the requests that this instance has in flight at a target.
-    pub fn acquire(
-        &mut self,
-        message: &Acquire,
-        in_flight: impl Fn(&TargetId) -> u32,
-        now: Duration,
-    ) -> (Grant, Vec<Action>) {
-        let mut actions = self.advance(now);
-        self.introduce(message, now);
-        let mut targets = Vec::new();
-        for ask in &message.targets {
-            if !self.grants(message, ask, now) {
-                continue;
-            }
-            let owned = self.give(message, ask, &mut actions);
-            targets.push(Holding {
-                in_flight: in_flight(&ask.target),
-                owned,
-                sequence: ask.sequence,
-                target: ask.target.clone(),
-            });
-        }
-        let grant = Grant {
-            from: self.me.clone(),
-            incarnation: self.incarnation,
-            sequence: self.sequence,
-            targets,
-            to: message.from.clone(),
-            to_incarnation: message.incarnation,
-        };
-        (grant, actions)
-    }
-
     /// Builds the next heartbeat to `to` and records its send time.
     pub fn beat(&mut self, to: &InstanceId, now: Duration) -> Beat {
         let dropped = self.dropped;
@@ -119,23 +80,6 @@
         }
     }
 
-    /// Takes in a peer's answer to a request for grants.
-    pub fn grant(&mut self, message: &Grant, now: Duration) -> Vec<Action> {
-        let mut actions = self.advance(now);
-        if !self.counts(message, now) {
-            return actions;
-        }
-        let mut handed = false;
-        for holding in &message.targets {
-            handed |= self.take(message, holding) && holding.owned;
-        }
-        self.complete(now, &mut actions);
-        if handed {
-            self.ask(true, now, &mut actions);
-        }
-        actions
-    }
-
     /// Takes in a heartbeat.
     pub fn hear(&mut self, beat: &Beat, now: Duration) -> Vec<Action> {
         let mut actions = self.advance(now);
@@ -234,396 +178,6 @@
     pub fn settled(&self, now: Duration) -> bool {
         !self.settings.guards.quarantine || now.saturating_sub(self.born) >= self.settings.lease
     }
-
-    /// Applies everything that follows from the passing of time and from the current view.
-    fn advance(&mut self, now: Duration) -> Vec<Action> {
-        let mut actions = Vec::new();
-        self.resume(now, &mut actions);
-        self.forget(now);
-        self.isolate(now, &mut actions);
-        self.drop_unwitnessed(now, &mut actions);
-        self.refresh(now);
-        actions
-    }
-
-    /// Whether heartbeats say that this instance is settled. They do so one suspicion window before the quarantine is
-    /// over, so that an owner that this instance cannot hear learns of it in time.
-    fn announced(&self, now: Duration) -> bool {
-        let early = self.settings.suspicion;
-        !self.settings.guards.quarantine
-            || now.saturating_sub(self.born) + early >= self.settings.lease
-    }
-
-    /// Sends requests for missing grants; `force` ignores the time of the last request.
-    fn ask(&mut self, force: bool, now: Duration, actions: &mut Vec<Action>) {
-        let peers: Vec<InstanceId> = self.live(now);
-        let mut messages: Vec<Vec<Ask>> = vec![Vec::new(); peers.len()];
-        let resend = self.settings.resend;
-        for entry in &mut self.entries {
-            let due = entry.sent.is_none_or(|at| now.saturating_sub(at) >= resend);
-            if entry.phase == Phase::Idle || !(force || due) {
-                continue;
-            }
-            for (peer, asks) in peers.iter().zip(&mut messages) {
-                if entry.granted(peer) {
-                    continue;
-                }
-                entry.sent = Some(now);
-                asks.push(Ask {
-                    owned: entry.phase == Phase::Owned,
-                    released: entry
-                        .grants
-                        .iter()
-                        .map(|(release, _)| release.clone())
-                        .collect(),
-                    sequence: entry.sequence,
-                    target: entry.target.clone(),
-                });
-            }
-        }
-        for (to, targets) in peers.into_iter().zip(messages) {
-            if targets.is_empty() {
-                continue;
-            }
-            let message = Acquire {
-                from: self.me.clone(),
-                incarnation: self.incarnation,
-                targets,
-            };
-            actions.push(Action::Acquire { message, to });
-        }
-    }
-
-    /// Takes ownership where all grants are present.
-    fn complete(&mut self, now: Duration, actions: &mut Vec<Action>) {
-        let required: Vec<InstanceId> = match self.settings.guards.grant {
-            true => self.live(now),
-            false => Vec::new(),
-        };
-        for entry in &mut self.entries {
-            if entry.phase != Phase::Acquiring || !required.iter().all(|peer| entry.granted(peer)) {
-                continue;
-            }
-            entry.phase = Phase::Owned;
-            entry.given = None;
-            actions.push(Action::Gained {
-                in_flight: entry
-                    .grants
-                    .iter()
-                    .map(|(_, holding)| holding.in_flight)
-                    .sum(),
-                planned: entry.grants.iter().any(|(_, holding)| holding.owned),
-                target: entry.target.clone(),
-            });
-        }
-    }
-
-    /// Whether a grant is for this incarnation and from the incarnation of the peer that is live.
-    fn counts(&self, message: &Grant, now: Duration) -> bool {
-        if message.to != self.me {
-            return false;
-        }
-        let Some(peer) = self.peer(&message.from) else {
-            return false;
-        };
-        if !self.settings.guards.incarnation {
-            return true;
-        }
-        message.to_incarnation == self.incarnation
-            && message.incarnation == peer.incarnation
-            && peer.heard_within(self.settings.lease, now)
-    }
-
-    /// Ends all attempts and ownerships.
-    fn drop_claims(&mut self, actions: &mut Vec<Action>) {
-        self.dropped = self.sequence;
-        for entry in &mut self.entries {
-            if entry.drop_claim() {
-                actions.push(lost(entry));
-            }
-        }
-    }
-
-    /// Ends ownerships that a live settled peer has not granted.
-    fn drop_unwitnessed(&mut self, now: Duration, actions: &mut Vec<Action>) {
-        if !self.settings.guards.grant {
-            return;
-        }
-        let required: Vec<InstanceId> = self
-            .live_peers(now)
-            .filter(|peer| peer.settled)
-            .map(|peer| peer.id.clone())
-            .collect();
-        for entry in &mut self.entries {
-            if entry.phase != Phase::Owned || required.iter().all(|peer| entry.granted(peer)) {
-                continue;
-            }
-            entry.drop_claim();
-            actions.push(lost(entry));
-        }
-    }
-
-    /// Whether every settled peer heard lately has echoed a recent heartbeat.
-    fn echoed(&self, now: Duration) -> bool {
-        if !self.settings.guards.echo {
-            return true;
-        }
-        let limit = self.settings.lease.saturating_sub(self.settings.margin);
-        self.peers
-            .iter()
-            .filter(|peer| peer.settled && peer.heard_within(self.settings.suspicion, now))
-            .all(|peer| peer.echoed.is_some_and(|at| now.saturating_sub(at) < limit))
-    }
-
-    fn entry(&self, target: &TargetId) -> Option<&Entry> {
-        let index = self
-            .entries
-            .binary_search_by(|entry| entry.target.cmp(target))
-            .ok()?;
-        Some(&self.entries[index])
-    }
-
-    fn entry_mut(&mut self, target: &TargetId) -> &mut Entry {
-        let index = match self
-            .entries
-            .binary_search_by(|entry| entry.target.cmp(target))
-        {
-            Ok(index) => index,
-            Err(index) => {
-                let mut entry = Entry::new(target.clone());
-                entry.candidate = candidate(target, &self.view);
-                self.entries.insert(index, entry);
-                index
-            }
-        };
-        &mut self.entries[index]
-    }
-
-    /// Drops peers that are silent for long, grants of peers that are dead or have restarted, and records of grants to
-    /// such peers or to peers that have dropped their claims.
-    fn forget(&mut self, now: Duration) {
-        let horizon = self.settings.lease * FORGET_LEASES;
-        self.peers.retain(|peer| peer.active(horizon, now));
-        let (check, lease) = (self.settings.guards.incarnation, self.settings.lease);
-        let peers = &self.peers;
-        let alive = |id: &InstanceId, incarnation: Incarnation| {
-            find(peers, id).filter(|peer| {
-                peer.heard_within(lease, now) && (!check || peer.incarnation == incarnation)
-            })
-        };
-        for entry in &mut self.entries {
-            entry
-                .grants
-                .retain(|(release, _)| alive(&release.from, release.incarnation).is_some());
-            entry.given.take_if(|given| {
-                alive(&given.to, given.incarnation)
-                    .is_none_or(|peer| given.sequence <= peer.dropped)
-            });
-        }
-        self.entries
-            .retain(|entry| entry.wanted || entry.given.is_some());
-    }
-
-    /// Records a grant and stops the own claim; returns whether the target was owned.
-    fn give(&mut self, message: &Acquire, ask: &Ask, actions: &mut Vec<Action>) -> bool {
-        let stop = self.settings.guards.stop;
-        self.sequence += 1;
-        let entry = self.entry_mut(&ask.target);
-        let mut owned = entry.phase == Phase::Owned;
-        if stop && entry.drop_claim() {
-            actions.push(lost(entry));
-        }
-        if let Some(given) = &entry.given {
-            let same = given.to == message.from && given.incarnation == message.incarnation;
-            owned |= same && given.sequence == ask.sequence && given.owned;
-        }
-        entry.given = Some(Given {
-            incarnation: message.incarnation,
-            owned,
-            sequence: ask.sequence,
-            to: message.from.clone(),
-        });
-        owned
-    }
-
-    /// Whether a request for a grant is to be granted.
-    fn grants(&self, message: &Acquire, ask: &Ask, now: Duration) -> bool {
-        let known = self.peer(&message.from).is_some_and(|peer| {
-            peer.incarnation == message.incarnation && peer.heard_within(self.settings.lease, now)
-        });
-        if !known {
-            return false;
-        }
-        let candidate = match self.entry(&ask.target) {
-            Some(entry) => entry.candidate.clone(),
-            None => candidate(&ask.target, &self.view),
-        };
-        let asker = candidate.as_ref() == Some(&message.from);
-        let Some(entry) = self.entry(&ask.target) else {
-            return ask.owned || (asker && self.remembers(now));
-        };
-        let may = match ask.owned {
-            true => asker || entry.phase == Phase::Idle,
-            false => asker && self.remembers(now),
-        };
-        may && self.released(entry, message, ask)
-    }
-
-    fn holds(&self, given: &Given, now: Duration) -> bool {
-        self.peer(&given.to).is_some_and(|peer| {
-            peer.incarnation == given.incarnation && peer.heard_within(self.settings.lease, now)
-        })
-    }
-
-    /// In quarantine, accepts owners that have not been heard yet: they need this grant before the end of the
-    /// quarantine, and this instance owns nothing that their appearance could stop.
-    fn introduce(&mut self, message: &Acquire, now: Duration) {
-        let registers = message.targets.iter().any(|ask| ask.owned);
-        if !registers || self.remembers(now) || message.from == self.me {
-            return;
-        }
-        self.peer_mut(&message.from)
-            .introduce(message.incarnation, now);
-        self.refresh(now);
-    }
-
-    /// While a settled peer does not hear this instance: drops all claims and starts a new quarantine, so that
-    /// heartbeats tell the others that they may take over.
-    fn isolate(&mut self, now: Duration, actions: &mut Vec<Action>) {
-        if self.echoed(now) {
-            return;
-        }
-        self.drop_claims(actions);
-        if self.announced(now) {
-            self.born = now;
-        }
-    }
-
-    fn live_peers(&self, now: Duration) -> impl Iterator<Item = &Peer> {
-        let lease = self.settings.lease;
-        self.peers
-            .iter()
-            .filter(move |peer| peer.heard_within(lease, now))
-    }
-
-    fn paused(&self, now: Duration) -> bool {
-        self.settings.guards.pause && now.saturating_sub(self.ticked) > self.settings.pause
-    }
-
-    fn peer(&self, id: &InstanceId) -> Option<&Peer> {
-        find(&self.peers, id)
-    }
-
-    fn peer_mut(&mut self, id: &InstanceId) -> &mut Peer {
-        let index = match self.peers.binary_search_by(|peer| peer.id.cmp(id)) {
-            Ok(index) => index,
-            Err(index) => {
-                self.peers.insert(index, Peer::new(id.clone()));
-                index
-            }
-        };
-        &mut self.peers[index]
-    }
-
-    /// Computes the candidates anew if the instances that may be candidates have changed.
-    fn refresh(&mut self, now: Duration) {
-        let mut view: Vec<InstanceId> = self
-            .live_peers(now)
-            .filter(|peer| peer.settled && !peer.leaving)
-            .map(|peer| peer.id.clone())
-            .collect();
-        if self.announced(now) && !self.leaving {
-            let index = view.partition_point(|id| *id < self.me);
-            view.insert(index, self.me.clone());
-        }
-        if view == self.view {
-            return;
-        }
-        for entry in &mut self.entries {
-            entry.candidate = candidate(&entry.target, &view);
-        }
-        self.view = view;
-    }
-
-    /// Whether the last holder of a grant has released it, so that another instance may be granted the target.
-    fn released(&self, entry: &Entry, message: &Acquire, ask: &Ask) -> bool {
-        if !self.settings.guards.witness {
-            return true;
-        }
-        let Some(given) = &entry.given else {
-            return true;
-        };
-        if given.to == message.from {
-            return true;
-        }
-        ask.released.iter().any(|release| {
-            release.from == given.to
-                && release.incarnation == given.incarnation
-                && release.sequence > given.sequence
-        })
-    }
-
-    /// Whether the process has run for a lease, so that its records of grants are complete.
-    fn remembers(&self, now: Duration) -> bool {
-        !self.settings.guards.quarantine || now.saturating_sub(self.started) >= self.settings.lease
-    }
-
-    /// After a pause: drops all claims and starts a new quarantine. Silence during the pause says nothing about peers,
-    /// so those that were live get a new lease; the records of grants to them stay.
-    fn resume(&mut self, now: Duration, actions: &mut Vec<Action>) {
-        if !self.paused(now) {
-            return;
-        }
-        let ticked = self.ticked;
-        let lease = self.settings.lease;
-        for peer in &mut self.peers {
-            if peer.heard_within(lease, ticked) {
-                peer.heard = Some(now);
-            }
-        }
-        self.drop_claims(actions);
-        self.born = now;
-        self.ticked = now;
-    }
-
-    /// Starts and ends attempts according to the candidates.
-    fn start(&mut self, now: Duration) {
-        let ready = self.settled(now) && !self.leaving && self.echoed(now);
-        let next = self.sequence + 1;
-        for entry in &mut self.entries {
-            let mine = ready && entry.wanted && entry.candidate.as_ref() == Some(&self.me);
-            match entry.phase {
-                Phase::Acquiring if !mine => {
-                    entry.drop_claim();
-                }
-                Phase::Idle if mine => {
-                    entry.start(next);
-                    self.sequence = next;
-                }
-                Phase::Acquiring | Phase::Idle | Phase::Owned => {}
-            }
-        }
-    }
-
-    /// Adds a grant to the attempt that it belongs to; returns whether it was new.
-    fn take(&mut self, message: &Grant, holding: &Holding) -> bool {
-        let check = self.settings.guards.sequence;
-        if self.entry(&holding.target).is_none() {
-            return false;
-        }
-        let entry = self.entry_mut(&holding.target);
-        if entry.phase == Phase::Idle || (check && holding.sequence != entry.sequence) {
-            return false;
-        }
-        let new = !entry.granted(&message.from);
-        let release = Release {
-            from: message.from.clone(),
-            incarnation: message.incarnation,
-            sequence: message.sequence,
-        };
-        entry.insert(release, holding.clone());
-        new
-    }
 }
 
 /// The instance of `view` with the highest rendezvous hash for `target`.
@@ -634,12 +188,12 @@
         .cloned()
 }
 
-fn find<'a>(peers: &'a [Peer], id: &InstanceId) -> Option<&'a Peer> {
+pub(super) fn find<'a>(peers: &'a [Peer], id: &InstanceId) -> Option<&'a Peer> {
     let index = peers.binary_search_by(|peer| peer.id.cmp(id)).ok()?;
     Some(&peers[index])
 }
 
-fn lost(entry: &Entry) -> Action {
+pub(super) fn lost(entry: &Entry) -> Action {
     Action::Lost {
         target: entry.target.clone(),
     }
