--- a/src/daemon/api/service.rs
+++ b/src/daemon/api/service.rs
@@ -47,7 +47,7 @@
         service = service,
         call = name,
         outcome = kind.map_or("ok", Kind::name),
-        reason = outcome.as_ref().err().map_or("", Error::message),
+        reason = outcome.as_ref().err().map_or("", Error::reason),
         elapsed_ms = state.clock.now().saturating_sub(start).as_millis() as u64
     );
     match outcome {
@@ -77,7 +77,7 @@
     let key = request
         .header(KEY_HEADER)
         .map(|values| values.last().as_str().to_owned());
-    let body = caller::body(state, request).await?;
+    let body = caller::body(state, request, limit).await?;
     let body = String::from_utf8(body)
         .map_err(|_| Error::new(Kind::BadRequest, "the body is not UTF-8"))?;
     let fold = state.fold();
