--- a/http/src/socket.rs
+++ b/http/src/socket.rs
@@ -6,7 +6,6 @@
 use std::time::Duration;
 
 use futures_lite::{AsyncRead, AsyncWrite};
-use smol::net::TcpStream;
 use smol::Timer;
 
 /// Longest accepted head of a request or an answer in bytes.
@@ -44,14 +43,14 @@
 
 /// A connection whose heads are checked and whose reads and writes end if they make no progress.
 #[derive(Debug)]
-pub(crate) struct Socket {
+pub(crate) struct Socket<S> {
     head: Arc<Mutex<Head>>,
     stall: Option<Duration>,
-    stream: TcpStream,
+    stream: S,
     timer: Option<Timer>,
 }
 
-impl Clone for Socket {
+impl<S: Clone> Clone for Socket<S> {
     fn clone(&self) -> Self {
         Self {
             head: self.head.clone(),
@@ -62,9 +61,9 @@
     }
 }
 
-impl Socket {
+impl<S> Socket<S> {
     /// `stall` is the longest time without progress of one read or write.
-    pub(crate) fn new(stream: TcpStream, stall: Option<Duration>) -> Self {
+    pub(crate) fn new(stream: S, stall: Option<Duration>) -> Self {
         Self {
             head: Arc::default(),
             stall,
@@ -96,7 +95,7 @@
     }
 }
 
-impl AsyncRead for Socket {
+impl<S: AsyncRead + Unpin> AsyncRead for Socket<S> {
     fn poll_read(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
@@ -111,7 +110,7 @@
     }
 }
 
-impl AsyncWrite for Socket {
+impl<S: AsyncWrite + Unpin> AsyncWrite for Socket<S> {
     fn poll_close(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Result<()>> {
         Pin::new(&mut self.stream).poll_close(cx)
     }
