Answer "outcome unknown" when another call holds the key

A repeat of a sale whose claimer had died waited for the claimer's outcome until its own deadline and then got `deadline_refused`, executed "no", up to 70 s long, although the sale with that key had run. A lost claim and a slow log were ruled out: the claim in force was the dead process's.

--- a/src/claim/issued.rs
+++ b/src/claim/issued.rs
@@ -65,6 +65,11 @@
         self.record(entry, now);
     }
 
+    /// Whether another call with the key may be running or may have run.
+    pub fn is_contested(&self, key: &str, nonce: u64) -> bool {
+        self.ledger.is_contested(key, nonce)
+    }
+
     /// Makes a key for `POST /v1/keys`.
     pub fn issue(&self, nonce: u64, now: u64) -> String {
         issue(&self.me, self.incarnation, nonce, now)
--- a/src/claim/ledger.rs
+++ b/src/claim/ledger.rs
@@ -132,6 +132,18 @@
         }
     }
 
+    /// Whether another call with the key may be running or may have run, so that a call that gives up must not say that
+    /// nothing was run under the key.
+    pub fn is_contested(&self, key: &str, nonce: u64) -> bool {
+        let Ok(index) = self.find(key) else {
+            return false;
+        };
+        let slot = &self.slots[index];
+        let held = slot.winner.as_ref();
+        let other = held.is_some_and(|winner| winner.id != self.id(nonce));
+        other || (slot.attempt(nonce).is_none() && self.busy(index))
+    }
+
     /// Tells that the append may or may not have taken effect. The claim stays until it is read back or expires; the
     /// same entry may be appended again.
     pub fn doubt(&mut self, key: &str, nonce: u64, now: u64) -> Step {
--- a/src/daemon/once/book.rs
+++ b/src/daemon/once/book.rs
@@ -18,6 +18,9 @@
     /// Records the outcome; `None` if it is not known.
     fn finish(&self, key: &str, nonce: u64, outcome: Option<Outcome>, now: u64);
 
+    /// Whether another call with the key may be running or may have run.
+    fn is_contested(&self, key: &str, nonce: u64) -> bool;
+
     /// What to do now.
     fn poll(&self, key: &str, nonce: u64, now: u64) -> Step;
 
--- a/src/daemon/once/memory.rs
+++ b/src/daemon/once/memory.rs
@@ -39,6 +39,10 @@
         lock(&self.issued).finish(key, nonce, outcome, now);
     }
 
+    fn is_contested(&self, key: &str, nonce: u64) -> bool {
+        lock(&self.issued).is_contested(key, nonce)
+    }
+
     fn poll(&self, key: &str, nonce: u64, now: u64) -> Step {
         lock(&self.issued).poll(key, nonce, now)
     }
--- a/src/daemon/once/mod.rs
+++ b/src/daemon/once/mod.rs
@@ -147,10 +147,7 @@
             }
             Step::Append { .. } | Step::Wait => {
                 if state.clock.now() >= deadline {
-                    book.unsent(&key, nonce, state.clock.unix_ms());
-                    state.metrics.claim("lost");
-                    let message = "the claim of the key was not decided before the deadline";
-                    return Err(Error::new(Kind::DeadlineRefused, message));
+                    return Err(undecided(state, &key, nonce, book));
                 }
                 book.changed(POLL).await;
             }
@@ -222,6 +219,19 @@
     outcome
 }
 
+/// The error for a call whose deadline passed before it was its turn.
+fn undecided(state: &State, key: &str, nonce: u64, book: &dyn Book) -> Error {
+    let contested = book.is_contested(key, nonce);
+    book.unsent(key, nonce, state.clock.unix_ms());
+    if contested {
+        // The call that holds the key may have run.
+        return refused(state, Kind::OutcomeUnknown);
+    }
+    state.metrics.claim("lost");
+    let message = "the claim of the key was not decided before the deadline";
+    Error::new(Kind::DeadlineRefused, message)
+}
+
 fn refused(state: &State, kind: Kind) -> Error {
     let (outcome, message) = match kind {
         Kind::KeyExpired => ("expired", "the key is expired"),
--- a/src/daemon/once/partition.rs
+++ b/src/daemon/once/partition.rs
@@ -186,6 +186,10 @@
         self.partition.submit(entry);
     }
 
+    fn is_contested(&self, key: &str, nonce: u64) -> bool {
+        lock(&self.partition.ledger).is_contested(key, nonce)
+    }
+
     fn poll(&self, key: &str, nonce: u64, now: u64) -> Step {
         lock(&self.partition.ledger).poll(key, nonce, now)
     }
