Test that sales run at most once

Claimer, issuer and owner of the service target are killed or paused in the middle of sales; the log drops replies or is down.

--- a/tests/cluster/running.rs
+++ b/tests/cluster/running.rs
@@ -236,6 +236,15 @@
         }
     }
 
+    /// Removes a member from all instance lists, as the platform does some time after its death.
+    pub async fn unlist(&self, instance: usize) {
+        let path = format!("/instances/{}", self.instances[instance].id);
+        for list in &self.lists {
+            self.send(Method::Delete, list.address(), &path, &Value::Null)
+                .await;
+        }
+    }
+
     /// Stops the process with SIGSTOP.
     pub fn pause(&self, instance: usize) {
         self.instances[instance].signal(Signal::STOP);
--- a/tests/cluster/sale.rs
+++ b/tests/cluster/sale.rs
@@ -7,23 +7,25 @@
 
 use super::{until, Running};
 
-/// Deadline of one attempt.
-const DEADLINE: Duration = Duration::from_secs(5);
-
 /// Time until a key that is repeated has a final answer: a lease, a claim's expiry of 10 s and some attempts.
 const SETTLE_LIMIT: Duration = Duration::from_secs(25);
 
 /// One key and the answers to all attempts with it.
 pub struct Sale {
     pub answers: Vec<Answer>,
+    pub deadline: Duration,
     pub key: String,
     running: Vec<Task<Answer>>,
 }
 
 impl Sale {
+    /// Deadline of one attempt, unless the test sets another one.
+    pub const DEADLINE: Duration = Duration::from_secs(4);
+
     pub fn new(key: impl Into<String>) -> Self {
         Self {
             answers: Vec::new(),
+            deadline: Self::DEADLINE,
             key: key.into(),
             running: Vec::new(),
         }
@@ -32,7 +34,7 @@
     /// Starts one more attempt at an instance.
     pub fn attempt(&mut self, running: &Running, instance: usize) {
         self.running
-            .push(running.sell(instance, &self.key, DEADLINE));
+            .push(running.sell(instance, &self.key, self.deadline));
     }
 
     /// Waits for all attempts.
@@ -42,13 +44,17 @@
         }
     }
 
-    /// Repeats the sale at an instance until the answer is final: an outcome, or that it is not known.
-    pub async fn settle(&mut self, running: &Running, instance: usize) {
-        let what = format!("the sale `{}` is settled", self.key);
-        until(&what, SETTLE_LIMIT, async || {
-            self.attempt(running, instance);
-            self.finish().await;
-            self.last().is_some_and(|answer| !answer.not_run)
+    /// Repeats sales at an instance until each has a final answer: an outcome, or that it is not known.
+    pub async fn settle(sales: &mut [Sale], running: &Running, instance: usize) {
+        until("all sales are settled", SETTLE_LIMIT, async || {
+            let open = |sale: &&mut Sale| sale.last().is_none_or(|answer| answer.not_run);
+            for sale in sales.iter_mut() {
+                sale.finish().await;
+            }
+            for sale in sales.iter_mut().filter(open) {
+                sale.attempt(running, instance);
+            }
+            sales.iter().all(|sale| sale.running.is_empty())
         })
         .await;
     }
@@ -70,7 +76,7 @@
             assert_eq!(executions, 0, "a false `not run`: {story}");
         }
         for answer in &self.answers {
-            let limit = DEADLINE + super::DELIVERY;
+            let limit = Self::DEADLINE + super::DELIVERY;
             assert!(answer.total <= limit, "late by {:?}: {story}", answer.total);
         }
     }
