--- a/http/src/lib.rs
+++ b/http/src/lib.rs
@@ -6,12 +6,14 @@
 mod client;
 mod error;
 mod limits;
+mod meter;
 mod peer;
 mod pipe;
 mod reply;
 mod server;
 mod socket;
 mod sse;
+mod traffic;
 
 pub use client::Client;
 pub use client::Connection;
@@ -28,3 +30,4 @@
 pub use reply::within;
 pub use server::Server;
 pub use sse::Events;
+pub use traffic::Traffic;
--- a/src/owner/beat.rs
+++ b/src/owner/beat.rs
@@ -5,6 +5,8 @@
 /// Heartbeat from one instance to one other of its domain.
 #[derive(Clone, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
 pub struct Beat {
+    /// Acquire sequence up to which the sender has dropped all claims after a pause or an isolation.
+    pub dropped: u64,
     /// Sequence of the last heartbeat that the sender received from the receiver; 0 if none.
     pub echo: u64,
     /// Incarnation of the receiver that `echo` refers to; 0 if none.
@@ -17,7 +19,7 @@
     pub leaving: bool,
     /// Offset of the records that are in force at the sender.
     pub offset: Offset,
-    /// Number of this heartbeat, from 1, counted per receiver.
+    /// Number of this heartbeat, from 1, counted over all receivers.
     pub sequence: u64,
     /// Whether the sender may own targets or will do so within the suspicion window.
     pub settled: bool,
--- a/src/owner/peer.rs
+++ b/src/owner/peer.rs
@@ -9,6 +9,8 @@
 /// What a table knows about one other instance of the domain.
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
 pub(super) struct Peer {
+    /// Acquire sequence up to which the peer has dropped all claims.
+    pub(super) dropped: u64,
     /// Send time of the most recent own heartbeat that the peer has echoed.
     pub(super) echoed: Option<Duration>,
     /// Time at which the last heartbeat was received.
@@ -22,14 +24,13 @@
     retired: Vec<Incarnation>,
     /// Own heartbeats to the peer that are younger than a lease: sequence and send time.
     sent: Vec<(u64, Duration)>,
-    /// Sequence of the last own heartbeat to the peer.
-    sequence: u64,
     pub(super) settled: bool,
 }
 
 impl Peer {
     pub(super) fn new(id: InstanceId) -> Self {
         Self {
+            dropped: 0,
             echoed: None,
             heard: None,
             id,
@@ -39,7 +40,6 @@
             received: 0,
             retired: Vec::new(),
             sent: Vec::new(),
-            sequence: 0,
             settled: false,
         }
     }
@@ -63,6 +63,7 @@
         if beat.sequence <= self.received {
             return false;
         }
+        self.dropped = beat.dropped;
         self.heard = Some(now);
         self.leaving = beat.leaving;
         self.offset = beat.offset;
@@ -89,12 +90,10 @@
         self.heard.is_some_and(|at| now.saturating_sub(at) < window)
     }
 
-    /// Records a heartbeat to the peer and returns its sequence.
-    pub(super) fn send(&mut self, lease: Duration, now: Duration) -> u64 {
+    /// Records a heartbeat to the peer.
+    pub(super) fn send(&mut self, sequence: u64, lease: Duration, now: Duration) {
         self.sent.retain(|(_, at)| now.saturating_sub(*at) < lease);
-        self.sequence += 1;
-        self.sent.push((self.sequence, now));
-        self.sequence
+        self.sent.push((sequence, now));
     }
 
     fn echo(&mut self, sequence: u64) {
@@ -111,6 +110,7 @@
         if self.retired.len() > RETIRED {
             self.retired.remove(0);
         }
+        self.dropped = 0;
         self.echoed = None;
         self.incarnation = incarnation;
         self.received = 0;
--- a/tests/bad_peer.rs
+++ b/tests/bad_peer.rs
@@ -33,6 +33,7 @@
 
 fn beat(from: &str) -> Beat {
     Beat {
+        dropped: 0,
         echo: 1,
         echo_incarnation: 1,
         from: from.into(),
