daemon: Bound the bytes of all requests in progress

Cause: `requests` (2048) times `body_bytes` (8 MiB) allowed 16 GiB of bodies on one small instance.

Change: the setting `memory_bytes` (256 MiB) bounds the sum; bytes count as they arrive, so a declared length alone takes nothing, and a request beyond the bound is `overloaded`, not run, with a time for a repeat.

--- a/src/daemon/api/caller.rs
+++ b/src/daemon/api/caller.rs
@@ -1,16 +1,20 @@
 use std::time::Duration;
 
-use jujubehook_http::http_types::Request;
-use jujubehook_http::{read, within};
+use futures_lite::{future, AsyncReadExt};
+use jujubehook_http::http_types::{Body, Request};
 use sha2::{Digest, Sha256};
+use smol::Timer;
 
-use crate::daemon::state::State;
+use crate::daemon::state::{Active, State};
 use crate::error::{Error, Kind};
 use crate::record::Workspace;
 
 /// Longest time that a caller has to send its body.
 const BODY_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// Bytes of a body that are read at a time.
+const CHUNK_BYTES: usize = 64 << 10;
+
 /// Header with the time in milliseconds that the caller gives the request.
 const DEADLINE_HEADER: &str = "x-deadline-ms";
 
@@ -61,22 +65,38 @@
     Ok(limit)
 }
 
-/// Reads the body, up to the limit of the settings and within the time of the request.
+/// Reads the body, up to the limits of the settings and within the time of the request.
 pub(super) async fn body(
-    state: &State,
+    active: &mut Active,
     request: &mut Request,
+    limit: usize,
     time: Duration,
 ) -> Result<Vec<u8>, Error> {
-    use jujubehook_http::Error as Http;
-
     let body = request.take_body();
-    let limit = state.settings.limits.body;
-    match within(BODY_TIMEOUT.min(time), read(body, limit)).await {
-        Ok(bytes) => Ok(bytes),
-        Err(error @ Http::TooLarge(_)) => Err(Error::new(Kind::TooLarge, error.to_string())),
-        Err(error) => Err(Error::new(
-            Kind::BadRequest,
-            format!("cannot read the body: {error}"),
-        )),
+    future::or(collect(active, body, limit), async {
+        Timer::after(BODY_TIMEOUT.min(time)).await;
+        Err(unread("timed out"))
+    })
+    .await
+}
+
+async fn collect(active: &mut Active, mut body: Body, limit: usize) -> Result<Vec<u8>, Error> {
+    let mut bytes = Vec::new();
+    let mut chunk = vec![0; CHUNK_BYTES];
+    loop {
+        let count = body.read(&mut chunk).await.map_err(unread)?;
+        if count == 0 {
+            return Ok(bytes);
+        }
+        if bytes.len() + count > limit {
+            let message = format!("the body exceeds the limit of {limit} bytes");
+            return Err(Error::new(Kind::TooLarge, message));
+        }
+        active.grow(count)?;
+        bytes.extend_from_slice(&chunk[..count]);
     }
 }
+
+fn unread(error: impl std::fmt::Display) -> Error {
+    Error::new(Kind::BadRequest, format!("cannot read the body: {error}"))
+}
--- a/src/daemon/api/completion.rs
+++ b/src/daemon/api/completion.rs
@@ -64,8 +64,8 @@
     let start = state.clock.now();
     let workspace = caller::workspace(state, request)?;
     let limit: Duration = caller::deadline(state, request)?;
-    let active = state.enter()?;
-    let bytes = caller::body(state, request, limit).await?;
+    let mut active = state.enter()?;
+    let bytes = caller::body(&mut active, request, state.settings.limits.body, limit).await?;
     let prompt = Prompt::parse(&bytes)?;
     drop(bytes);
     state.fold().permits(
--- a/src/daemon/api/service.rs
+++ b/src/daemon/api/service.rs
@@ -73,11 +73,11 @@
 ) -> Result<(Active, Call), Error> {
     let workspace = caller::workspace(state, request)?;
     let limit = caller::deadline(state, request)?;
-    let active = state.enter()?;
+    let mut active = state.enter()?;
     let key = request
         .header(KEY_HEADER)
         .map(|values| values.last().as_str().to_owned());
-    let body = caller::body(state, request, limit).await?;
+    let body = caller::body(&mut active, request, state.settings.limits.body, limit).await?;
     let body = String::from_utf8(body)
         .map_err(|_| Error::new(Kind::BadRequest, "the body is not UTF-8"))?;
     let fold = state.fold();
--- a/src/daemon/state.rs
+++ b/src/daemon/state.rs
@@ -43,6 +43,8 @@
     pub(crate) source: Source,
     active: AtomicUsize,
     alarm: Mutex<Option<String>>,
+    /// Bytes of the bodies of all requests in progress.
+    bodies: AtomicUsize,
     controller: AtomicBool,
     fold: RwLock<Arc<Fold>>,
     leaving: AtomicBool,
@@ -52,14 +54,29 @@
     synced: AtomicBool,
 }
 
-/// Counts a request as in progress until it is dropped.
+/// Counts a request and its body as in progress until it is dropped.
 pub(crate) struct Active {
+    bytes: usize,
     state: Arc<State>,
 }
 
+impl Active {
+    /// Counts more bytes of the body, up to the limit of the settings.
+    pub(crate) fn grow(&mut self, bytes: usize) -> Result<(), Error> {
+        self.bytes += bytes;
+        let before = self.state.bodies.fetch_add(bytes, Ordering::AcqRel);
+        if before + bytes <= self.state.settings.limits.memory {
+            return Ok(());
+        }
+        let message = "the instance holds as many bytes of requests as it may";
+        Err(Error::new(Kind::Overloaded, message))
+    }
+}
+
 impl Drop for Active {
     fn drop(&mut self) {
         self.state.active.fetch_sub(1, Ordering::AcqRel);
+        self.state.bodies.fetch_sub(self.bytes, Ordering::AcqRel);
     }
 }
 
@@ -85,6 +102,7 @@
         Ok(Self {
             active: AtomicUsize::new(0),
             alarm: Mutex::default(),
+            bodies: AtomicUsize::new(0),
             controller: AtomicBool::new(false),
             budget: Mutex::new(Budget::new(RETRY_SHARE, RETRY_BURST)),
             claims: Claims::new(&settings.instance, incarnation),
@@ -113,6 +131,7 @@
     pub(crate) fn enter(self: &Arc<Self>) -> Result<Active, Error> {
         let before = self.active.fetch_add(1, Ordering::AcqRel);
         let active = Active {
+            bytes: 0,
             state: self.clone(),
         };
         if before >= self.settings.limits.requests {
--- a/src/settings/check.rs
+++ b/src/settings/check.rs
@@ -108,6 +108,12 @@
         "deadline_ms",
         "must not exceed `deadline_max_ms`",
     )?;
+    checker.range("memory_bytes", limits.memory as u64, 1024, 64 << 30)?;
+    checker.ensure(
+        limits.body <= limits.memory,
+        "memory_bytes",
+        "must be at least `body_bytes`",
+    )?;
     checker.range("requests", limits.requests as u64, 1, 100_000)?;
     checker.range("tokens", limits.tokens, 1, 1_000_000)
 }
--- a/src/settings/file.rs
+++ b/src/settings/file.rs
@@ -30,6 +30,7 @@
     body_bytes: Option<usize>,
     deadline_max_ms: Option<u64>,
     deadline_ms: Option<u64>,
+    memory_bytes: Option<usize>,
     requests: Option<usize>,
     tokens: Option<u64>,
 }
@@ -100,6 +101,7 @@
         body: table.body_bytes.unwrap_or(default.body),
         deadline: millis(table.deadline_ms, default.deadline),
         deadline_max: millis(table.deadline_max_ms, default.deadline_max),
+        memory: table.memory_bytes.unwrap_or(default.memory),
         requests: table.requests.unwrap_or(default.requests),
         tokens: table.tokens.unwrap_or(default.tokens),
     }
--- a/src/settings/limits.rs
+++ b/src/settings/limits.rs
@@ -9,6 +9,8 @@
     pub deadline: Duration,
     /// Longest deadline that a caller may ask for.
     pub deadline_max: Duration,
+    /// Bytes of the bodies of all requests that one instance serves at a time.
+    pub memory: usize,
     /// Requests that one instance serves at a time.
     pub requests: usize,
     /// Most tokens that one request may generate.
@@ -21,6 +23,7 @@
             body: 8 << 20,
             deadline: Duration::from_secs(30),
             deadline_max: Duration::from_secs(600),
+            memory: 256 << 20,
             requests: 2048,
             tokens: 16_384,
         }
--- a/tests/fuzz_input.rs
+++ b/tests/fuzz_input.rs
@@ -186,6 +186,7 @@
 
 fn beat(rng: &mut Rng) -> Beat {
     Beat {
+        dropped: number(rng),
         echo: number(rng),
         echo_incarnation: number(rng),
         from: name(rng),
--- /dev/null
+++ b/tests/instance_limits.rs
@@ -0,0 +1,102 @@
+//! Guards against requests and bytes without bound on one instance.
+
+mod guard;
+
+use std::io::Write;
+use std::net::{SocketAddr, TcpListener, TcpStream};
+
+use guard::{fleet, row, send, serves, until};
+use jujubehook::daemon::Daemon;
+use jujubehook::event;
+use jujubehook::load::Fleet;
+use jujubehook::settings::{Limits, Network, Queue, Settings};
+use serde_json::{json, Value};
+
+/// Largest body and largest sum of bodies in the second test.
+const BYTES: usize = 4 << 10;
+
+/// An instance in another domain that is not in the list; it forwards everything.
+async fn instance(fleet: &Fleet, limits: Limits) -> Daemon {
+    let port = TcpListener::bind("127.0.0.1:0").unwrap();
+    let listen = port.local_addr().unwrap();
+    drop(port);
+    let daemon = Daemon::start(Settings {
+        domain: "south".into(),
+        instance: "guarded".into(),
+        limits,
+        listen,
+        log: event::Settings::default(),
+        network: Network {
+            list: fleet.list(),
+            log: fleet.log(),
+            ..Network::default()
+        },
+        peer_key: fleet.peer_key().into(),
+        policy: "affinity".into(),
+        queue: Queue::default(),
+    })
+    .await
+    .unwrap();
+    until(async || daemon.is_ready()).await;
+    daemon
+}
+
+/// Opens a request whose body lacks its last byte.
+fn hold(entry: SocketAddr, bytes: usize) -> TcpStream {
+    let mut caller = TcpStream::connect(entry).unwrap();
+    let head = format!(
+        "POST /v1/completions HTTP/1.1\r\nhost: a\r\nauthorization: Bearer key-0\r\ncontent-length: {}\r\n\r\n",
+        bytes + 1
+    );
+    caller.write_all(head.as_bytes()).unwrap();
+    caller.write_all(&vec![b'a'; bytes]).unwrap();
+    caller
+}
+
+async fn requests(fleet: &Fleet, entry: SocketAddr) -> Value {
+    let headers = [("x-peer-key", fleet.peer_key())];
+    let status = send(entry, "GET", "/peer/status", &headers, "").await.body;
+    let status: Value = serde_json::from_slice(&status).unwrap();
+    status["requests"].clone()
+}
+
+#[test]
+fn instance_limits() {
+    smol::block_on(async {
+        let fleet = fleet(1).await;
+        for (limits, held) in [
+            (
+                Limits {
+                    requests: 2,
+                    ..Limits::default()
+                },
+                10,
+            ),
+            (
+                Limits {
+                    body: BYTES,
+                    memory: BYTES,
+                    ..Limits::default()
+                },
+                BYTES / 2 - 20,
+            ),
+        ] {
+            let daemon = instance(&fleet, limits).await;
+            let entry = daemon.address();
+            let headers = [("authorization", "Bearer key-0")];
+            let body = json!({"model": "resin", "prompt": "hello", "max_tokens": 1, "pad": "a".repeat(60)});
+            let body = body.to_string();
+            let ask =
+                async || send(entry, "POST", "/v1/completions", &headers, body.as_str()).await;
+            assert_eq!(ask().await.status, 200);
+            let callers: Vec<_> = (0..2).map(|_| hold(entry, held)).collect();
+            until(async || requests(&fleet, entry).await == 2).await;
+            until(async || ask().await.error() == row("overloaded")).await;
+            drop(callers);
+            until(async || ask().await.status == 200).await;
+            until(async || requests(&fleet, entry).await == 0).await;
+            drop(daemon);
+        }
+        serves(&fleet).await;
+    });
+}
--- a/tests/settings_file.rs
+++ b/tests/settings_file.rs
@@ -79,6 +79,11 @@
         ("limits", "body_bytes", &["0", "1023", "67108865"]),
         ("limits", "deadline_ms", &["0", "600001", "3600001"]),
         ("limits", "deadline_max_ms", &["0", "3600001"]),
+        (
+            "limits",
+            "memory_bytes",
+            &["1023", "1048576", "68719476737"],
+        ),
         ("limits", "requests", &["0", "100001"]),
         ("limits", "tokens", &["0", "1000001"]),
         ("network", "controller_delay_ms", &["99", "60001"]),
