Let the caller of caller_leaves stay until an engine is seen at work

The caller left after 100 ms; the test looks at the engines every 50 ms and then waited for work that had come and gone. Change: the caller leaves when the test has seen an engine at work; the checks after that are unchanged. Conclusion: the fault was in the test's timing.

--- a/tests/caller_leaves.rs
+++ b/tests/caller_leaves.rs
@@ -4,14 +4,14 @@
 
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
-use std::time::Duration;
+use std::sync::mpsc::{channel, Receiver};
 
 use guard::{fleet, panics, send, serves, until};
 use jujubehook::load::Fleet;
 use serde_json::json;
 
-/// Sends a request whose answer takes seconds, reads `read` bytes of it and leaves after `stay`.
-async fn leave(entry: SocketAddr, prompt: usize, stream: bool, read: usize, stay: Duration) {
+/// Sends a request whose answer takes seconds, reads `read` bytes of it and leaves on the message of `go`.
+async fn leave(entry: SocketAddr, prompt: usize, stream: bool, read: usize, go: Receiver<()>) {
     let body = json!({
         "model": "resin", "prompt": "a".repeat(prompt), "max_tokens": 1_000, "stream": stream,
     })
@@ -25,7 +25,7 @@
         caller.write_all(head.as_bytes()).unwrap();
         caller.write_all(body.as_bytes()).unwrap();
         caller.read_exact(&mut vec![0; read]).unwrap();
-        std::thread::sleep(stay);
+        go.recv().unwrap();
     })
     .await;
 }
@@ -67,17 +67,18 @@
         assert_eq!(idle, 0);
         for entry in fleet.entries() {
             // Before the head of a whole answer, before the first token of a long prefill, and within a stream.
-            for (count, (prompt, stream, read, stay)) in [
-                (8, false, 0, 500),
-                (400_000, true, 0, 100),
-                (8, true, 2_000, 0),
-            ]
-            .into_iter()
-            .enumerate()
+            for (count, (prompt, stream, read)) in
+                [(8, false, 0), (2_000_000, true, 0), (8, true, 2_000)]
+                    .into_iter()
+                    .enumerate()
             {
-                let stay = Duration::from_millis(stay);
-                let work = leave(entry, prompt, stream, read, stay);
-                let busy = until(async || used(&fleet).await > 0);
+                // A caller that left after a fixed time could be gone before an engine was seen at work.
+                let (go, gone) = channel();
+                let work = leave(entry, prompt, stream, read, gone);
+                let busy = async {
+                    until(async || used(&fleet).await > 0).await;
+                    go.send(()).unwrap();
+                };
                 futures_lite::future::zip(work, busy).await;
                 until(async || used(&fleet).await == 0).await;
                 let count = count as u64 + 1;
