route: Follow the packing switch

With packing off in the settings, only the queue of each target changed; the policy was made with its default and packed long prompts all the same. The switch is now an argument of the policy's constructor. The new test fails on the old constructor's behaviour.

--- a/src/daemon/state.rs
+++ b/src/daemon/state.rs
@@ -66,7 +66,7 @@
 impl State {
     pub(crate) fn new(settings: Settings, clock: Arc<Clock>) -> Result<Self, Error> {
         let incarnation = unguessable();
-        let policy = route::policy(&settings.policy)?;
+        let policy = route::policy(&settings.policy, settings.queue.packing)?;
         let network = &settings.network;
         let table = owner::Table::new(
             settings.instance.clone(),
--- a/src/route/mod.rs
+++ b/src/route/mod.rs
@@ -29,10 +29,10 @@
     fn owned(&self) -> bool;
 }
 
-/// The policy called `name`: `affinity`, `least-loaded` or `round-robin`.
-pub fn policy(name: &str) -> Result<Box<dyn Policy>, Error> {
+/// The policy called `name`: `affinity`, `least-loaded` or `round-robin`. Only affinity packs long prompts.
+pub fn policy(name: &str, packing: bool) -> Result<Box<dyn Policy>, Error> {
     match name {
-        "affinity" => Ok(Box::new(Affinity::default())),
+        "affinity" => Ok(Box::new(Affinity::new(packing))),
         "least-loaded" => Ok(Box::new(LeastLoaded::default())),
         "round-robin" => Ok(Box::new(RoundRobin::default())),
         _ => Err(Error::new(
--- a/tests/bounded_load.rs
+++ b/tests/bounded_load.rs
@@ -80,7 +80,7 @@
 #[test]
 fn own_domain_first() {
     for name in ["affinity", "least-loaded", "round-robin"] {
-        let mut policy = policy(name).unwrap();
+        let mut policy = policy(name, true).unwrap();
         let mut all = candidates();
         let reserved = policy.choose(&ask(350_000, 1), &all, NOW);
         assert_eq!(reserved, None, "{name}: above the unreserved memory");
@@ -101,18 +101,36 @@
         assert_eq!(choose(&all[..8]), 4, "{name}: a full queue before none");
         assert_eq!(policy.owned(), name == "affinity");
     }
-    assert!(policy("best").is_err_and(|error| error.message().contains("`best`")));
+    assert!(policy("best", true).is_err_and(|error| error.message().contains("`best`")));
 }
 
 /// Guards against baselines that do not take turns or do not look at the load.
 #[test]
 fn baselines() {
     let mut all = candidates();
-    let turns = choices(&mut *policy("round-robin").unwrap(), &all);
+    let turns = choices(&mut *policy("round-robin", true).unwrap(), &all);
     assert!((0..100).all(|turn| turns[turn] == turn % 8));
     all[..8].iter_mut().for_each(|one| load(one).queued = 9);
     load(&mut all[5]).queued = 8;
     all[6].load = None; // counts as the mean
-    let least = choices(&mut *policy("least-loaded").unwrap(), &all);
+    let least = choices(&mut *policy("least-loaded", true).unwrap(), &all);
     assert!(least.iter().all(|index| *index == 5));
 }
+
+/// Guards against a switch of packing that the policy does not follow.
+#[test]
+fn packing_switch() {
+    let mut all = candidates();
+    load(&mut all[0]).long = 1;
+    let targets = |packing| {
+        let mut affinity = policy("affinity", packing).unwrap();
+        let mut used: Vec<_> = (0..100)
+            .filter_map(|prefix| affinity.choose(&ask(100_000, prefix), &all, NOW))
+            .collect();
+        used.sort_unstable();
+        used.dedup();
+        used
+    };
+    assert_eq!(targets(true), [1]);
+    assert_eq!(targets(false).len(), 8);
+}
