daemon: Count only control messages as control bytes

The counter of control bytes took every message between instances except completions, so it held the text of gang pieces, forwarded service calls and forwarded sales. Messages that carry the work of callers are not counted any more.

--- a/src/daemon/client.rs
+++ b/src/daemon/client.rs
@@ -16,6 +16,9 @@
 /// Largest accepted answer of a peer in bytes; a snapshot of all records is the largest.
 const ANSWER_LIMIT: usize = 32 << 20;
 
+/// Paths whose messages carry the work of callers, which is no control message; sorted.
+const WORK_PATHS: [&str; 3] = ["/peer/call", "/peer/once", "/peer/prefill"];
+
 /// Header with the key that instances share.
 pub(crate) const KEY_HEADER: &str = "x-peer-key";
 
@@ -35,9 +38,11 @@
 ) -> Result<T, Error> {
     let connection = connect(state, peer).await?;
     let request = request(state, peer, path, message)?;
-    state
-        .metrics
-        .control_sent(path.len() + request.len().unwrap_or_default());
+    if WORK_PATHS.binary_search(&path).is_err() {
+        state
+            .metrics
+            .control_sent(path.len() + request.len().unwrap_or_default());
+    }
     let work = async {
         let mut response = connection.send(request).await?;
         let bytes = read(response.take_body(), ANSWER_LIMIT).await?;
--- a/tests/load_report.rs
+++ b/tests/load_report.rs
@@ -1,8 +1,14 @@
 //! The load generator: its arrivals are a function of the seed, and its report finds no broken promise on a healthy
 //! fleet.
 
-use jujubehook::load::{measure, Plan, Profile, Settings, Work};
+use std::time::Duration;
+
+use jujubehook::load::{measure, Caller, Fleet, Plan, Profile, Settings, Work};
+use jujubehook::settings::Queue;
 use jujubehook::target::Class;
+use jujubehook_http::http_types::Method;
+use jujubehook_http::{Client, Reuse};
+use jujubehook_standin::engine;
 
 /// Guards against comparisons of runs that had different arrivals.
 #[test]
@@ -88,3 +94,52 @@
     assert!(report.row("short").is_some_and(|row| row.ok > 0));
     assert!(report.sales.committed > 0);
 }
+
+/// Guards against prompt text in the count of control bytes: the pieces of a gang were counted.
+#[test]
+fn control_bytes() {
+    let (memory, prompt) = (8_000, "lot ".repeat(12_000));
+    let settings = Settings {
+        domains: 1,
+        engine: engine::Settings {
+            cold: false,
+            memory,
+            ..engine::Settings::default()
+        },
+        engines: 4,
+        instances: 3,
+        queue: Queue {
+            memory,
+            ..Queue::default()
+        },
+        ..Settings::default()
+    };
+    let sent = smol::block_on(async {
+        let fleet = Fleet::start(settings).await.unwrap();
+        let before = control(&fleet).await;
+        let caller = Caller::new("key-0");
+        for entry in fleet.entries() {
+            let limit = Duration::from_secs(30);
+            let answer = caller.complete(entry, "resin", &prompt, 4, limit).await;
+            assert_eq!(answer.error, None);
+        }
+        control(&fleet).await - before
+    });
+    // Three prompts of 48 kB went through the gangs of three instances that own different engines.
+    assert!(sent < 24_000.0, "{sent} control bytes");
+}
+
+/// Control bytes that all instances of a fleet have sent.
+async fn control(fleet: &Fleet) -> f64 {
+    let client = Client::default();
+    let mut sum = 0.0;
+    for entry in fleet.entries() {
+        let request = Client::request(Method::Get, entry, "/metrics").unwrap();
+        let answer = client.fetch(entry, request, Reuse::Never, 1 << 20).await;
+        let text = String::from_utf8(answer.unwrap().1).unwrap();
+        let name = "jujubehook_control_sent_bytes_total ";
+        let value = text.lines().find_map(|line| line.strip_prefix(name));
+        sum += value.unwrap().parse::<f64>().unwrap();
+    }
+    sum
+}
