Add an example that measures a forwarding hop

The design allows one extra hop inside a domain and the goal is at most 2 ms for it. The example sends the same prompts to the owner of an engine and to two instances that forward to it.

--- /dev/null
+++ b/examples/forwarding.rs
@@ -0,0 +1,93 @@
+//! Measures what a hop through another instance adds to the time to first token.
+//!
+//! One engine, three instances of one domain: one instance owns the engine, the other two forward to it. The same
+//! prompts go to each of them in turn, one at a time.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use hdrhistogram::Histogram;
+use jujubehook::load::{Caller, Fleet, Settings};
+use jujubehook_http::http_types::Method;
+use jujubehook_http::{Client, Reuse};
+use jujubehook_standin::engine;
+
+const DEADLINE: Duration = Duration::from_secs(10);
+const MODEL: &str = "resin";
+const PROMPT_BYTES: usize = 4_000;
+const ROUNDS: usize = 500;
+
+fn main() {
+    smol::block_on(measure());
+}
+
+async fn measure() {
+    let settings = Settings {
+        domains: 1,
+        engine: engine::Settings {
+            cold: false,
+            ..engine::Settings::default()
+        },
+        engines: 1,
+        instances: 3,
+        ..Settings::default()
+    };
+    let fleet = Fleet::start(settings).await.expect("the fleet starts");
+    let caller = Caller::new("key-0");
+    let new = || Histogram::<u64>::new_with_max(60_000_000, 3).expect("valid bounds");
+    let mut direct = new();
+    let mut forwarded = new();
+    // Warm-up; afterwards the counters tell which instances forward.
+    for round in 0..20 {
+        for entry in fleet.entries() {
+            ask(&caller, entry, round).await;
+        }
+    }
+    let mut entries = Vec::new();
+    for entry in fleet.entries() {
+        entries.push((entry, forwards(entry).await));
+    }
+    for round in 20..20 + ROUNDS {
+        for (entry, forwards) in &entries {
+            let first = ask(&caller, *entry, round).await;
+            let times = if *forwards {
+                &mut forwarded
+            } else {
+                &mut direct
+            };
+            times.saturating_record(first.as_micros() as u64);
+        }
+    }
+    for (name, times) in [("direct", &direct), ("forwarded", &forwarded)] {
+        let ms = |quantile| times.value_at_quantile(quantile) as f64 / 1_000.0;
+        println!(
+            "{name}: {} prompts, p50 {:.2} ms, p95 {:.2} ms, p99 {:.2} ms",
+            times.len(),
+            ms(0.50),
+            ms(0.95),
+            ms(0.99)
+        );
+    }
+    let p95 = |times: &Histogram<u64>| times.value_at_quantile(0.95) as f64 / 1_000.0;
+    println!("added at p95: {:.2} ms", p95(&forwarded) - p95(&direct));
+}
+
+/// Time to first token of a prompt that no other request shares.
+async fn ask(caller: &Caller, entry: SocketAddr, round: usize) -> Duration {
+    let piece = format!("lot {round} of {} ", entry.port());
+    let mut prompt = piece.repeat(PROMPT_BYTES / piece.len() + 1);
+    prompt.truncate(PROMPT_BYTES);
+    let answer = caller.complete(entry, MODEL, &prompt, 1, DEADLINE).await;
+    answer.first_token.expect("a first token")
+}
+
+/// Whether an instance forwards requests.
+async fn forwards(entry: SocketAddr) -> bool {
+    let client = Client::default();
+    let request = Client::request(Method::Get, entry, "/metrics").expect("a valid path");
+    let answer = client.fetch(entry, request, Reuse::Never, 1 << 20).await;
+    let text = String::from_utf8(answer.expect("metrics").1).expect("text");
+    let name = "jujubehook_forwarded_total ";
+    let line = text.lines().find_map(|line| line.strip_prefix(name));
+    line.is_some_and(|count| count.trim() != "0")
+}
