--- a/src/daemon/state.rs
+++ b/src/daemon/state.rs
@@ -83,7 +83,7 @@
 impl State {
     pub(crate) fn new(settings: Settings, clock: Arc<Clock>) -> Result<Self, Error> {
         let incarnation = unguessable();
-        let policy = route::policy(&settings.policy)?;
+        let policy = route::policy(&settings.policy, settings.queue.packing)?;
         let network = &settings.network;
         let metrics =
             Registry::new().map_err(|error| Error::new(Kind::Internal, error.to_string()))?;
