Let a new owner learn what a target has cached

Cause: after a handover the new owner predicted every prefix to be uncached; the engines' cache events were not read at all, and the prefix hash was not the one that engines report. Conclusion: events are read at a handover only; following them would exceed the control budget.

--- a/src/daemon/api/completion.rs
+++ b/src/daemon/api/completion.rs
@@ -4,7 +4,7 @@
 use jujubehook_http::http_types::{Request, Response};
 use jujubehook_http::Peer;
 
-use super::prompt::{prefix, Form, Prompt};
+use super::prompt::{Form, Prompt};
 use super::{answer, caller, failed};
 use crate::daemon::answer::{Answer, Question};
 use crate::daemon::state::{unguessable, Active, State};
@@ -12,6 +12,7 @@
 use crate::event;
 use crate::event::hex;
 use crate::id::tokens;
+use crate::route::prefix;
 use crate::target::Class;
 
 /// Answers a completion request, as a stream or whole.
--- a/src/daemon/api/prompt.rs
+++ b/src/daemon/api/prompt.rs
@@ -1,18 +1,11 @@
 use serde::Deserialize;
-use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::error::{Error, Kind};
-use crate::id::{Tokens, TOKEN_BYTES};
+use crate::id::Tokens;
 
 /// Tokens generated if the caller names no number, as in the published interface.
 const DEFAULT_TOKENS: Tokens = 16;
 
-/// Tokens of one block of the prefix, the unit in which engines cache prompts.
-const BLOCK_TOKENS: usize = 256;
-
-/// Leading blocks that take part in routing; longer common prefixes tell targets apart no better.
-const PREFIX_BLOCKS: usize = 8;
-
 /// Shape of a completion request.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(super) enum Form {
@@ -105,16 +98,3 @@
     }
     text
 }
-
-/// Chained hashes of the leading blocks; equal hashes mean equal prefixes.
-pub(super) fn prefix(text: &str) -> Vec<u64> {
-    let mut hash = 0;
-    text.as_bytes()
-        .chunks_exact(BLOCK_TOKENS * TOKEN_BYTES)
-        .take(PREFIX_BLOCKS)
-        .map(|block| {
-            hash = xxh3_64_with_seed(block, hash);
-            hash
-        })
-        .collect()
-}
--- a/src/daemon/task/reap.rs
+++ b/src/daemon/task/reap.rs
@@ -9,7 +9,7 @@
 use crate::event;
 use crate::event::hex;
 use crate::id::{AttemptId, TargetId};
-use crate::platform::{Engine, Role, Streams};
+use crate::platform::{cached, Engine, Role, Streams};
 
 /// Longest wait for a peer's answer about handles.
 const CLAIMS_TIMEOUT: Duration = Duration::from_secs(1);
@@ -40,6 +40,7 @@
         if read {
             slot.set_checked(true);
             slot.pump(state);
+            learn(state, target).await;
             return;
         }
         let now = state.clock.now();
@@ -68,6 +69,20 @@
     Some(())
 }
 
+/// Learns what a target that was just gained has cached. From then on this owner knows what it sends there, and reading
+/// every event would cost more than the control budget allows.
+async fn learn(state: &Arc<State>, target: &TargetId) {
+    let Ok(address) = state.address(target) else {
+        return;
+    };
+    let engine = Engine::new(&state.client, address);
+    if let Ok(changes) = engine.events().await {
+        let blocks = cached(&changes);
+        let slot = state.slot(target);
+        slot.update(state, |scheduler, now| scheduler.cache(&blocks, &[], now));
+    }
+}
+
 /// Counts streams that were not opened here as foreign load.
 fn account(state: &Arc<State>, slot: &Slot, streams: &Streams) {
     let foreign = streams
--- a/src/platform/engine.rs
+++ b/src/platform/engine.rs
@@ -5,6 +5,7 @@
 use jujubehook_http::{within, Client, Connection, Error, Events, Reuse};
 use serde::{Deserialize, Serialize};
 
+use super::change::Change;
 use super::warmth::{boot, cold};
 
 use crate::id::{AttemptId, Fence, ModelId, Tokens};
@@ -82,6 +83,11 @@
     pub status: u16,
 }
 
+#[derive(Deserialize)]
+struct Changes {
+    events: Vec<Change>,
+}
+
 #[derive(Deserialize)]
 struct Loaded {
     model: ModelId,
@@ -156,6 +162,16 @@
         connection.send(request).await.map(stream)
     }
 
+    /// Reads the cache events that the engine still has.
+    ///
+    /// # Errors
+    /// Fails if the engine does not answer in time.
+    pub async fn events(&self) -> Result<Vec<Change>, Error> {
+        let bytes = self.call(Method::Get, "/v1/events?after=0", None).await?;
+        let changes: Changes = serde_json::from_slice(&bytes)?;
+        Ok(changes.events)
+    }
+
     /// Makes a ticket with which another engine can import a handle.
     ///
     /// # Errors
--- a/src/platform/mod.rs
+++ b/src/platform/mod.rs
@@ -1,6 +1,7 @@
 //! Clients of the log, the instance list, the engines and the services.
 
 mod call;
+mod change;
 mod engine;
 mod entry;
 mod error;
@@ -14,6 +15,9 @@
 mod state;
 mod warmth;
 
+pub use change::cached;
+pub use change::Change;
+pub use change::Effect;
 pub use engine::Completion;
 pub use engine::Engine;
 pub use engine::Event;
--- a/src/route/mod.rs
+++ b/src/route/mod.rs
@@ -8,6 +8,7 @@
 mod candidate;
 mod least_loaded;
 mod pool;
+mod prefix;
 mod round_robin;
 
 use std::time::Duration;
@@ -16,6 +17,8 @@
 pub use ask::Ask;
 pub use candidate::Candidate;
 pub use least_loaded::LeastLoaded;
+pub use prefix::prefix;
+pub use prefix::BLOCK_TOKENS;
 pub use round_robin::RoundRobin;
 
 use crate::error::{Error, Kind};
