daemon: Report the first piece of a prompt as a start

Cause: `Start` was sent with the last piece of a chunked prefill. A request whose deadline passed in the queue between two pieces, or whose target changed owner there, ended as `deadline_refused` or `moved`, `executed: no`, although the engine had prefilled a part of it. The same held for a prompt of several engines that failed after its prefill.

Ruled out: other kinds for these failures, since `moved` costs no retry and a handover must not use up the budget.

Change: `Start` follows the first piece, and a gang that is formed counts as an attempt that reached its targets; from then on `Error::after_attempt` applies.

Measured: `first_piece` in tests/not_run.rs saw 7 pieces at the engine before the first frame, now 1. The failure between two pieces itself was not reproduced end to end: four prompts on one slow engine were served one after another.

--- a/src/daemon/answer.rs
+++ b/src/daemon/answer.rs
@@ -265,6 +265,7 @@
         let left = self.question.max_tokens - self.sent;
         let pool = || candidates(&self.state, self.question.class(), &self.question.model);
         let gang = long::prepare(&self.state, &self.question, left, pool).await?;
+        self.reached = true;
         self.target = gang.target().clone();
         let mut run = self.run(attempt, gang.context());
         // The whole prompt is in the handles of the gang.
--- a/src/daemon/serve/run.rs
+++ b/src/daemon/serve/run.rs
@@ -58,6 +58,7 @@
     }
     let ticket = Ticket::new(state, slot, item(state, run))?;
     let mut handle = None;
+    let mut started = false;
     loop {
         let dispatch = ticket.turn().await?;
         let address = state.address(&run.target)?;
@@ -76,13 +77,17 @@
             to = dispatch.to
         );
         let stream = engine::send(state, &ticket, &run.target, address, &completion).await?;
+        // With the first piece, so that a failure between two pieces is not taken for a request that was not run.
+        if !started {
+            let load = slot.load(state.clock.now());
+            output.send(Body::Start { load }).await?;
+            started = true;
+        }
         if !dispatch.last {
             engine::prefill(&run.target, run.attempt, stream).await?;
             ticket.chunk_done();
             continue;
         }
-        let load = slot.load(state.clock.now());
-        output.send(Body::Start { load }).await?;
         let end = engine::relay(state, address, run, &ticket, stream, output).await?;
         ticket.finish(true);
         lock(&state.outlier).record(&run.target, true, state.clock.now());
--- a/src/wire/frame.rs
+++ b/src/wire/frame.rs
@@ -38,7 +38,7 @@
         /// Load of the target, if known.
         load: Option<Load>,
     },
-    /// The attempt was dispatched to the target.
+    /// The attempt, or the first piece of it, was dispatched to the target.
     Start {
         /// Load of the target at that time.
         load: Load,
--- a/tests/not_run.rs
+++ b/tests/not_run.rs
@@ -6,6 +6,9 @@
 
 use guard::{panics, until};
 use jujubehook::load::{Caller, Fleet, Settings};
+use jujubehook::wire::{self, Body, Run};
+use jujubehook_http::http_types::Method;
+use jujubehook_http::Client;
 use jujubehook_standin::{engine, service};
 use serde_json::json;
 use smol::Timer;
@@ -53,3 +56,65 @@
         assert_eq!(panics(), 0);
     });
 }
+
+/// The entry instance learns that a target was reached with the first piece of a prompt, not with the last one.
+#[test]
+fn first_piece() {
+    smol::block_on(async {
+        let fleet = Fleet::start(Settings {
+            domains: 1,
+            engine: engine::Settings {
+                cold: false,
+                prefill_rate: 20_000.0,
+                ..engine::Settings::default()
+            },
+            engines: 1,
+            instances: 1,
+            workspaces: 1,
+            ..Settings::default()
+        })
+        .await
+        .unwrap();
+        let (target, _, engine) = fleet.engines()[0].clone();
+        let run = Run {
+            adapter: None,
+            attempt: 1,
+            context: Vec::new(),
+            deadline_ms: 10_000,
+            hops: 0,
+            max_tokens: 1,
+            model: "resin".into(),
+            prefix: Vec::new(),
+            prompt: "a".repeat(200_000),
+            request: 1,
+            start: 0,
+            target,
+            weight: 1,
+            workspace: "workspace-0".into(),
+        };
+        let entry = fleet.entries()[0];
+        let mut request = Client::request(Method::Post, entry, "/peer/run").unwrap();
+        request.insert_header("x-peer-key", fleet.peer_key());
+        request.set_body(wire::encode(&run));
+        let mut frames = Client::default().stream(entry, request).await.unwrap();
+        let mut bodies = Vec::new();
+        let mut pieces = 0;
+        while let Some(frame) = wire::unpack(&mut frames).await.unwrap() {
+            if bodies.is_empty() {
+                let stats = fleet.stats(engine).await.unwrap();
+                pieces = stats["requests"].as_array().unwrap().len();
+            }
+            bodies.push(frame.body);
+        }
+        assert_eq!(pieces, 1);
+        assert!(
+            matches!(
+                bodies[..],
+                [Body::Start { .. }, Body::Token { .. }, Body::End { .. }]
+            ),
+            "{bodies:?}"
+        );
+        let stats = fleet.stats(engine).await.unwrap();
+        assert!(stats["requests"].as_array().unwrap().len() > 1);
+    });
+}
