--- a/tests/bad_peer.rs
+++ b/tests/bad_peer.rs
@@ -9,7 +9,7 @@
 use hmac::{Hmac, KeyInit, Mac};
 use jujubehook::error::{Error, Kind};
 use jujubehook::load::Fleet;
-use jujubehook::owner::Beat;
+use jujubehook::owner::{self, Beat, Table};
 use jujubehook::wire::{self, Answer, Body, Call, Check, Frame, Run};
 use serde_json::Value;
 use sha2::Sha256;
@@ -317,3 +317,20 @@
         assert_eq!(wire::unpack(&mut &[][..]).await.unwrap(), None);
     });
 }
+
+/// Guards against a dead peer that looks alive because its heartbeats are sent again.
+#[test]
+fn replayed_beat() {
+    let settings = owner::Settings::default();
+    let (start, lease) = (Duration::ZERO, settings.lease);
+    let mut table = Table::new("a".into(), 1, settings, start);
+    let beat = beat("b");
+    table.hear(&beat, start);
+    assert_eq!(table.live(start), ["b"]);
+    for step in 1..=4 {
+        let now = lease * step / 4;
+        table.hear(&beat, now);
+        table.tick(now);
+    }
+    assert!(table.live(lease).is_empty());
+}
--- a/tests/fuzz_input.rs
+++ b/tests/fuzz_input.rs
@@ -378,6 +378,14 @@
     });
 }
 
+/// Guards against an event without an end that grows in memory.
+#[test]
+fn endless_event() {
+    let stream = futures_lite::io::repeat(b'a');
+    let mut reader = Events::new(futures_lite::io::BufReader::new(stream));
+    smol::block_on(reader.next()).unwrap_err();
+}
+
 /// Guards against settings files that stop the parser, and against values out of range that pass.
 #[test]
 fn settings_files() {
