Wait for a moved target until the deadline

While a target had no owner for a moment, each round over all targets used up three of the 64 attempts of a request, so that callers got `moved` after 0.9 s although the deadline was 15 s. Seen in `graceful_stop`, when an instance stopped while its replacement was in its quarantine; a lease of 3 s makes it longer than any attempt count would last. The retry budget was ruled out, since moved targets do not draw on it. Calls to services waited for 64 pauses at most and follow the same rule now.

--- a/src/daemon/answer.rs
+++ b/src/daemon/answer.rs
@@ -16,7 +16,7 @@
 use crate::target::Class;
 use crate::wire::{Body, Run};
 
-/// Attempts for one request; more of them mean that no target can take it.
+/// Attempts for one request that did not end with a moved target; more of them mean that no target can take it.
 const ATTEMPT_LIMIT: u32 = 64;
 
 /// Wait before a target is tried again that was tried before, for example while it gets a new owner.
@@ -185,9 +185,12 @@
                 return Err(error);
             }
         }
-        // A moved target costs nothing; every other retry adds load and is limited.
-        if kind != Kind::Moved && !lock(&self.state.budget).spend() {
-            return Err(error);
+        // A moved target costs nothing, and gets an owner within a lease; every other retry adds load and is limited.
+        if kind != Kind::Moved {
+            self.attempts += 1;
+            if !lock(&self.state.budget).spend() {
+                return Err(error);
+            }
         }
         self.state.metrics.retry();
         event!(
@@ -206,7 +209,6 @@
 
     /// Starts the next attempt. `None` means that it has started or that another try makes sense.
     async fn open(&mut self) -> Result<Option<Body>, Error> {
-        self.attempts += 1;
         if self.sent >= self.question.max_tokens {
             // Only the end was lost; the caller has every token.
             let (cached, count) = (0, self.sent - self.start);
--- a/src/daemon/calls.rs
+++ b/src/daemon/calls.rs
@@ -14,7 +14,7 @@
 use crate::target::Class;
 use crate::wire::{Call, Reply};
 
-/// Attempts for one call; more of them mean that no target can take it.
+/// Attempts for one call that did not end with a moved target; more of them mean that no target can take it.
 const ATTEMPT_LIMIT: u32 = 64;
 
 /// Wait before targets that were tried are tried again.
@@ -31,7 +31,8 @@
     let deadline = state.clock.now() + Duration::from_millis(call.deadline_ms);
     let mut tried = Vec::new();
     lock(&state.budget).attempt();
-    for _ in 0..ATTEMPT_LIMIT {
+    let mut attempts = 0;
+    while attempts < ATTEMPT_LIMIT {
         let now = state.clock.now();
         let left = deadline.saturating_sub(now);
         if left.is_zero() {
@@ -57,6 +58,8 @@
         if !may_repeat(state, &call, &error) {
             return Err(error);
         }
+        // A moved target gets an owner within a lease.
+        attempts += u32::from(error.kind() != Kind::Moved);
         event!(
             state.source,
             "retry",
