Take a grant as proof that its sender has stopped

When an owner shut down while a new instance joined, its targets had no owner until it had exited and its lease had passed (2.5 s in `graceful_stop`, with a lease of 0.8 s). The owner had granted them to a second instance, the candidate at that moment; that instance still kept the owner's earlier registration. When the new instance settled and became the candidate, each of the two waited for the other's release, and neither could be had. A lost request was ruled out, since requests are repeated. The grant that the second instance had got is the same proof that a release carries, so it now clears the record. The exhaustive search of the ownership model and the tests of its guards still hold.

--- a/src/owner/table.rs
+++ b/src/owner/table.rs
@@ -583,6 +583,13 @@
             return false;
         }
         let entry = self.entry_mut(&holding.target);
+        // The grant proves that its sender has stopped. Without this, two instances that granted the target to each
+        // other would both wait for the other's release when a third one asks.
+        entry.given.take_if(|given| {
+            given.to == message.from
+                && given.incarnation == message.incarnation
+                && message.sequence > given.sequence
+        });
         if entry.phase == Phase::Idle || (check && holding.sequence != entry.sequence) {
             return false;
         }
