Move queued work when another instance becomes the owner

Requests that were queued at an instance while it was acquiring a target stayed there until their deadline when another instance became the candidate: an acquisition that is given up ends no ownership, so nothing drained the queue. A prefill that waited between two pieces when its target was lost or left service was left behind in the same way. The queue of a target whose work belongs elsewhere is now drained every 50 ms, pieces that wait included.

--- a/src/daemon/serve/slot.rs
+++ b/src/daemon/serve/slot.rs
@@ -168,10 +168,18 @@
         }
     }
 
-    /// Sends queued work away; work that runs stays.
+    /// Sends queued work away, between two pieces of a prefill included; work at the engine stays.
     pub(crate) fn drain(&self, state: &State) -> usize {
+        let now = state.clock.now();
         let mut inner = lock(&self.inner);
-        let drained = inner.scheduler.drain(state.clock.now());
+        let flying = inner.scheduler.in_flight();
+        let waiting = inner.waiters.iter().map(|waiter| waiter.attempt);
+        let drained: Vec<AttemptId> = waiting
+            .filter(|attempt| flying.binary_search(attempt).is_err())
+            .collect();
+        for attempt in &drained {
+            inner.scheduler.cancel(*attempt, now);
+        }
         for attempt in &drained {
             inner.tell(*attempt, Turn::Moved);
         }
--- a/src/daemon/task/pump.rs
+++ b/src/daemon/task/pump.rs
@@ -6,6 +6,7 @@
 use crate::daemon::serve::{self, Slot};
 use crate::daemon::state::State;
 use crate::event;
+use crate::id::TargetId;
 
 /// Time between two checks for expired deadlines and changed permissions.
 const INTERVAL: Duration = Duration::from_millis(50);
@@ -25,11 +26,20 @@
                 serve::drop_handles(&state, slot.target(), handles);
             }
             slot.pump(&state);
+            // Work that came while this instance was about to get the target, or whose prefill is between two pieces.
+            if is_elsewhere(&state, slot.target()) {
+                slot.drain(&state);
+            }
         }
         Timer::after(INTERVAL).await;
     }
 }
 
+/// Whether queued work for the target has to go to another instance or target.
+fn is_elsewhere(state: &State, target: &TargetId) -> bool {
+    !state.in_service(target) || matches!(state.route(target, 0), Ok(Some(_)))
+}
+
 /// Applies the records and the instance list in force to all targets.
 pub(crate) fn enforce(state: &Arc<State>) {
     let listing = state.listing();
