--- /dev/null
+++ b/tests/cluster/load.rs
@@ -0,0 +1,70 @@
+//! Steady load of short requests.
+
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::sync::Arc;
+use std::time::Duration;
+
+use jujubehook::load::Caller;
+use smol::Task;
+
+use super::{Asked, Running, MODEL};
+
+/// Callers at each instance.
+const CALLERS: usize = 4;
+
+const DEADLINE: Duration = Duration::from_secs(15);
+
+/// Callers that send one short request after another. Each answer has to be whole.
+pub struct Load {
+    callers: Vec<Task<usize>>,
+    stop: Arc<AtomicBool>,
+}
+
+impl Load {
+    /// Starts callers at some instances.
+    pub fn start(running: &Running, instances: &[usize]) -> Self {
+        static NUMBER: AtomicUsize = AtomicUsize::new(500_000);
+        let stop = Arc::new(AtomicBool::new(false));
+        let mut callers = Vec::new();
+        for &instance in instances {
+            for _ in 0..CALLERS {
+                let entry = running.instances[instance].address;
+                let (caller, stop) = (running.caller.clone(), stop.clone());
+                callers.push(smol::spawn(async move {
+                    let mut answers = 0;
+                    while !stop.load(Ordering::Relaxed) {
+                        let number = NUMBER.fetch_add(1, Ordering::Relaxed);
+                        ask(&caller, entry, number).await;
+                        answers += 1;
+                    }
+                    answers
+                }));
+            }
+        }
+        Self { callers, stop }
+    }
+
+    /// Lets the requests in progress end, and returns how many were answered.
+    pub async fn finish(self) -> usize {
+        self.stop.store(true, Ordering::Relaxed);
+        let mut answers = 0;
+        for caller in self.callers {
+            answers += caller.await;
+        }
+        answers
+    }
+}
+
+async fn ask(caller: &Caller, entry: std::net::SocketAddr, number: usize) {
+    let asked = Asked::new(number, 500, 20, DEADLINE);
+    let answer = caller
+        .complete(
+            entry,
+            MODEL,
+            &asked.prompt,
+            asked.max_tokens,
+            asked.deadline,
+        )
+        .await;
+    asked.check_whole(&answer);
+}
--- a/tests/cluster/mod.rs
+++ b/tests/cluster/mod.rs
@@ -4,17 +4,19 @@
 #![allow(dead_code, unreachable_pub, unused_imports)]
 
 mod link;
+mod load;
 mod process;
 mod running;
 mod sale;
 
 use std::future::Future;
 use std::sync::Once;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use jujubehook_standin::{engine, log, service};
 use smol::Timer;
 
+pub use load::Load;
 pub use running::{caller_key, Asked, Running};
 pub use sale::Sale;
 
@@ -135,3 +137,9 @@
         Timer::after(POLL).await;
     }
 }
+
+/// Wall time as Unix milliseconds, as the stand-ins record it.
+pub fn wall_ms() -> u64 {
+    let age = SystemTime::now().duration_since(UNIX_EPOCH);
+    age.expect("a wall clock").as_millis() as u64
+}
--- a/tests/cluster/running.rs
+++ b/tests/cluster/running.rs
@@ -3,7 +3,7 @@
 use std::net::{Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
 use std::sync::Arc;
-use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use std::time::Duration;
 
 use jujubehook::load::{Answer, Caller};
 use jujubehook::platform;
@@ -18,7 +18,7 @@
 
 use super::link::{Link, Route};
 use super::process::Process;
-use super::{until, Cluster, DELIVERY, MODEL, ONCE, SERVICE};
+use super::{until, wall_ms, Cluster, DELIVERY, MODEL, ONCE, SERVICE};
 
 const ANSWER_LIMIT: usize = 16 << 20;
 const DOMAINS: [&str; 4] = ["north", "south", "west", "east"];
@@ -285,6 +285,24 @@
             .await
     }
 
+    /// Unix times in milliseconds at which a target got its requests.
+    pub fn request_times(&self, stats: &Value) -> Vec<u64> {
+        let requests = stats["requests"].as_array().cloned().unwrap_or_default();
+        requests
+            .iter()
+            .filter_map(|request| request["at_ms"].as_u64())
+            .collect()
+    }
+
+    /// Unix time in milliseconds of the last request that a target got; 0 if there was none.
+    pub async fn last_request(&self, address: SocketAddr) -> u64 {
+        let stats = self.stats(address).await;
+        self.request_times(&stats)
+            .into_iter()
+            .max()
+            .unwrap_or_default()
+    }
+
     /// Status of an instance; `None` if it does not answer.
     pub async fn status(&self, instance: usize) -> Option<Value> {
         let process = &self.instances[instance];
@@ -563,10 +581,7 @@
 
 /// A caller's key that no other test uses.
 pub fn caller_key(name: &str) -> String {
-    let age = SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .expect("a wall clock");
-    format!("{}-{name}", age.as_secs())
+    format!("{}-{name}", wall_ms() / 1_000)
 }
 
 fn loopback() -> SocketAddr {
--- /dev/null
+++ b/tests/domain_out.rs
@@ -0,0 +1,112 @@
+//! Guards against work for a domain that operators have taken out of service, and against overload of its targets when
+//! it returns. Proves points 3, 4, 6 and 7.
+
+mod cluster;
+
+use std::time::Duration;
+
+use cluster::{caller_key, until, wall_ms, Asked, Cluster, Load, Running, Sale, FEW_SECONDS};
+use jujubehook::record::Kind;
+use serde_json::json;
+
+const DEADLINE: Duration = Duration::from_secs(30);
+
+/// A domain leaves under load and returns: within 5 s its targets get nothing new, running streams end whole, sales
+/// go on, and after the return its targets serve again without a crash.
+#[test]
+fn leaves_and_returns() {
+    cluster::run(async {
+        let running = Cluster::new().domains(2).engines(2).start().await;
+        let inside = running.instance_in("north");
+        let outside = running.instance_in("south");
+        let asked = Asked::new(1, 1_000, 600, DEADLINE);
+        let long = running.complete(inside, &asked);
+        let load = Load::start(&running, &[inside, outside]);
+        wait_served(&running, 0).await;
+        publish(&running, false).await;
+        let out = wall_ms();
+        until(
+            "the instances of the domain are unready",
+            FEW_SECONDS,
+            async || running.is_ready(inside).await == Some(false),
+        )
+        .await;
+        let mut sales = Vec::new();
+        for index in 0..6 {
+            let mut sale = Sale::new(caller_key(&format!("domain-out-{index}")));
+            sale.attempt(&running, [inside, outside][index % 2]);
+            sales.push(sale);
+        }
+        asked.check_whole(&long.await);
+        until(
+            "5 s have passed since the record",
+            FEW_SECONDS * 2,
+            async || wall_ms() > out + FEW_SECONDS.as_millis() as u64 + 500,
+        )
+        .await;
+        for sale in &mut sales {
+            sale.finish().await;
+            assert!(
+                sale.last().is_some_and(|answer| answer.is_ok()),
+                "a sale is lost"
+            );
+            sale.check(&running).await;
+        }
+        let back = wall_ms();
+        check_quiet(&running, out, back).await;
+        publish(&running, true).await;
+        wait_served(&running, back).await;
+        load.finish().await;
+        running.wait_settled().await;
+        check_falls(&running).await;
+    });
+}
+
+async fn publish(running: &Running, service: bool) {
+    running
+        .publish(Kind::Domain, "north", json!({"service": {"in": service}}))
+        .await;
+}
+
+/// Waits until each engine of the domain got a request after `since`.
+async fn wait_served(running: &Running, since: u64) {
+    until(
+        "all engines of the domain serve",
+        FEW_SECONDS * 2,
+        async || {
+            for engine in running
+                .engines
+                .iter()
+                .filter(|engine| engine.domain == "north")
+            {
+                if running.last_request(engine.address).await <= since {
+                    return false;
+                }
+            }
+            true
+        },
+    )
+    .await;
+}
+
+/// Fails if a target of the domain got work between 5 s after `out` and `back`.
+async fn check_quiet(running: &Running, out: u64, back: u64) {
+    let limit = out + FEW_SECONDS.as_millis() as u64;
+    for target in running.engines.iter().chain(&running.services) {
+        let stats = running.stats(target.address).await;
+        let times = running.request_times(&stats);
+        let late = times.iter().any(|&at| at > limit && at < back);
+        assert!(
+            target.domain != "north" || !late,
+            "`{}` got new work",
+            target.id
+        );
+    }
+}
+
+async fn check_falls(running: &Running) {
+    for engine in &running.engines {
+        let stats = running.stats(engine.address).await;
+        assert_eq!(stats["falls"], 0, "`{}` crashed under load", engine.id);
+    }
+}
--- /dev/null
+++ b/tests/graceful_stop.rs
@@ -0,0 +1,63 @@
+//! Guards against requests cut by a graceful shutdown. Proves points 1 and 9.
+
+mod cluster;
+
+use std::time::Duration;
+
+use cluster::{until, Asked, Cluster, Load, FEW_SECONDS};
+
+const DEADLINE: Duration = Duration::from_secs(30);
+
+/// Time for a shutdown: the longest stream, a handover and some slack.
+const STOP_LIMIT: Duration = Duration::from_secs(15);
+
+/// Each instance in turn is stopped with SIGTERM under load, with long streams through it and on its targets, and is
+/// replaced: callers are told by `/readyz` before it ends, no request is cut, and it exits with code 0.
+#[test]
+fn cuts_nothing() {
+    cluster::run(async {
+        let mut running = Cluster::new().instances(3).engines(3).start().await;
+        for instance in 0..3 {
+            let mut streams = Vec::new();
+            for number in 0..6 {
+                // Every third prompt is prefilled in pieces.
+                let tokens = if number % 3 == 0 { 60_000 } else { 1_000 };
+                let asked = Asked::new(100 * instance + number, tokens, 500, DEADLINE);
+                streams.push((running.complete(instance + number % 3, &asked), asked));
+            }
+            let stay: Vec<usize> = (instance + 1..instance + 3).collect();
+            let load = Load::start(&running, &stay);
+            until(
+                "streams run through the instance",
+                FEW_SECONDS,
+                async || {
+                    let status = running.status(instance).await.unwrap_or_default();
+                    status["requests"].as_u64() >= Some(2)
+                },
+            )
+            .await;
+            running.terminate(instance);
+            until("callers are told", FEW_SECONDS, async || {
+                running.is_ready(instance).await == Some(false)
+            })
+            .await;
+            assert!(
+                running.instances[instance].exit().is_none(),
+                "gone too early"
+            );
+            for (stream, asked) in streams {
+                asked.check_whole(&stream.await);
+            }
+            until("the instance has stopped", STOP_LIMIT, async || {
+                running.instances[instance].exit().is_some()
+            })
+            .await;
+            let status = running.instances[instance].exit();
+            assert!(status.is_some_and(|status| status.success()), "{status:?}");
+            load.finish().await;
+            running.unlist(instance).await;
+            running.start_instance("north").await;
+            running.wait_settled().await;
+        }
+    });
+}
--- a/tests/sale_once.rs
+++ b/tests/sale_once.rs
@@ -210,10 +210,9 @@
     let mut later = start(&running, &others, &format!("after-{name}"));
     for sale in &mut later {
         sale.finish().await;
-        assert!(
-            sale.last().is_some_and(|answer| answer.is_ok()),
-            "no sale after the fault"
-        );
+        let last = sale.last();
+        let sold = last.is_some_and(|answer| answer.is_ok());
+        assert!(sold, "no sale after the fault: {last:?}");
         sale.check(&running).await;
     }
 }
--- /dev/null
+++ b/tests/target_leaving.rs
@@ -0,0 +1,54 @@
+//! Guards against new work for a target that a record lets leave. Proves points 1 and 8.
+
+mod cluster;
+
+use std::time::Duration;
+
+use cluster::{until, wall_ms, Asked, Cluster, Load, FEW_SECONDS};
+use jujubehook::record::Kind;
+use serde_json::json;
+
+const DEADLINE: Duration = Duration::from_secs(30);
+
+/// A target leaves under load: within 5 s it gets nothing new, its running streams end whole, and the others serve on.
+#[test]
+fn gets_nothing_new() {
+    cluster::run(async {
+        let running = Cluster::new().engines(3).start().await;
+        let mut streams = Vec::new();
+        for number in 0..6 {
+            let asked = Asked::new(number, 1_000, 400, DEADLINE);
+            streams.push((running.complete(number % 2, &asked), asked));
+        }
+        let load = Load::start(&running, &[0, 1]);
+        let leaving = &running.engines[0];
+        until("the target serves", FEW_SECONDS, async || {
+            running.stats(leaving.address).await["running"].as_u64() > Some(0)
+        })
+        .await;
+        running
+            .publish(Kind::Target, &leaving.id, json!({"leaving": true}))
+            .await;
+        let out = wall_ms();
+        let limit = out + FEW_SECONDS.as_millis() as u64;
+        until(
+            "5 s have passed since the record",
+            FEW_SECONDS * 2,
+            async || wall_ms() > limit + 1_000,
+        )
+        .await;
+        for (stream, asked) in streams {
+            asked.check_whole(&stream.await);
+        }
+        let answers = load.finish().await;
+        assert!(answers > 0, "no load");
+        let last = running.last_request(leaving.address).await;
+        assert!(
+            last <= limit,
+            "new work {} ms after the record",
+            last.saturating_sub(out)
+        );
+        let others = running.last_request(running.engines[1].address).await;
+        assert!(others > limit, "the other targets do not serve");
+    });
+}
