tests: Check the longest prompt of a workspace

Change: tests/bad_input.rs also sends a prompt above `max_prompt` of its workspace, which is `too_large`.

--- a/tests/bad_input.rs
+++ b/tests/bad_input.rs
@@ -110,12 +110,12 @@
 }
 
 async fn keys(fleet: &Fleet) {
-    workspace(
-        fleet,
-        "narrow",
-        json!([{"model": "amber"}, {"model": "resin", "adapters": ["a"], "versions": ["1"]}]),
-    )
-    .await;
+    let grants = json!([
+        {"model": "amber"},
+        {"model": "resin", "adapters": ["a"], "versions": ["1"]},
+    ]);
+    let body = json!({"grants": grants, "limits": {"max_prompt": 100}});
+    workspace(fleet, "narrow", body).await;
     for key in [
         "",
         "Bearer",
@@ -152,6 +152,11 @@
         ),
         ("amber", json!({}), "unknown_model"),
         ("", json!({}), "forbidden"),
+        (
+            "resin",
+            json!({"adapter": "a", "version": "1", "prompt": "a".repeat(401)}),
+            "too_large",
+        ),
     ] {
         refused(fleet, TEXT, &narrow, ask(model, &more), kind).await;
     }
--- a/tests/guard/mod.rs
+++ b/tests/guard/mod.rs
@@ -84,12 +84,12 @@
 }
 
 /// Publishes a workspace with the key `key` and waits until it is in force.
-pub async fn workspace(fleet: &Fleet, key: &str, grants: Value) {
+pub async fn workspace(fleet: &Fleet, key: &str, mut body: Value) {
     let digest: String = Sha256::digest(key.as_bytes())
         .iter()
         .map(|byte| format!("{byte:02x}"))
         .collect();
-    let body = json!({"grants": grants, "keys": [&digest]});
+    body["keys"] = json!([&digest]);
     fleet
         .publish(Kind::Workspace, &digest[..8], body)
         .await
--- a/tests/no_secrets.rs
+++ b/tests/no_secrets.rs
@@ -35,7 +35,7 @@
     let mut secrets = vec![PROMPT.to_owned(), KEY.to_owned(), own.clone()];
     smol::block_on(async {
         let fleet = fleet(2).await;
-        workspace(&fleet, KEY, json!([{"model": "resin"}])).await;
+        workspace(&fleet, KEY, json!({"grants": [{"model": "resin"}]})).await;
         let caller = Caller::new(KEY);
         let bearer = format!("Bearer {KEY}");
         let wrong = format!("Bearer {PROMPT}");
