http: Bound the time to discard an unread body

Cause: after an answer async-h1 reads and discards what is left of the request's body. Nothing bounded that, so a caller without any key could hold a connection for good by sending a byte now and then after its refusal.

Measured: `endless_body` in http/tests/limits.rs was never closed within 5 s before and is closed after 0.3 s (its limit) now; the other http tests pass.

--- a/http/src/limits.rs
+++ b/http/src/limits.rs
@@ -5,7 +5,7 @@
 pub struct Limits {
     /// Connections that are open at a time; further ones wait in the accept queue.
     pub connections: usize,
-    /// Longest time without progress while a message is read or written.
+    /// Longest time without progress while a message is read or written, and in all to discard an unread body.
     pub stall: Duration,
 }
 
--- a/http/src/server.rs
+++ b/http/src/server.rs
@@ -104,7 +104,12 @@
     let mut server = async_h1::server::Server::new(socket.clone(), |request| {
         // Handlers are large; on the heap they do not grow the stack frames of the connection.
         let work = Box::pin(handler(request, peer.clone()));
-        async move { Ok(work.await) }
+        let socket = &socket;
+        async move {
+            let response = work.await;
+            socket.expect_end();
+            Ok(response)
+        }
     });
     while let Ok(ConnectionStatus::KeepAlive) = server.accept_one().await {
         socket.expect_head();
--- a/http/src/socket.rs
+++ b/http/src/socket.rs
@@ -1,9 +1,9 @@
 use std::future::Future;
 use std::io::{Error, ErrorKind, Result};
 use std::pin::Pin;
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::task::{Context, Poll};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use futures_lite::{AsyncRead, AsyncWrite};
 use smol::Timer;
@@ -14,18 +14,23 @@
 /// The four bytes at the end of a head.
 const HEAD_END: u32 = u32::from_be_bytes(*b"\r\n\r\n");
 
-/// Checks the head of one message while it is read.
+/// Checks the head of one message while it is read, and the time to discard its rest.
 ///
 /// `async-h1` checks the length of a head only at the end of each line, and panics on header values that are not
 /// ASCII.
 #[derive(Debug, Default)]
 struct Head {
+    /// End of the time to discard what the handler has not read.
+    discard: Option<Instant>,
     seen: usize,
     tail: u32,
 }
 
 impl Head {
     fn scan(&mut self, bytes: &[u8]) -> Result<()> {
+        if self.discard.is_some_and(|end| Instant::now() > end) {
+            return Err(ErrorKind::TimedOut.into());
+        }
         for byte in bytes {
             if self.tail == HEAD_END {
                 return Ok(());
@@ -74,7 +79,17 @@
 
     /// Expects the head of the next message.
     pub(crate) fn expect_head(&self) {
-        *self.head.lock().unwrap_or_else(PoisonError::into_inner) = Head::default();
+        *self.head() = Head::default();
+    }
+
+    /// Bounds the time to discard what the handler has not read of the message.
+    pub(crate) fn expect_end(&self) {
+        let end = self.stall.map(|stall| Instant::now() + stall);
+        self.head().discard = end;
+    }
+
+    fn head(&self) -> MutexGuard<'_, Head> {
+        self.head.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Turns a wait that is too long into an error.
@@ -103,8 +118,7 @@
     ) -> Poll<Result<usize>> {
         let outcome = Pin::new(&mut self.stream).poll_read(cx, buffer);
         if let Poll::Ready(Ok(count)) = outcome {
-            let mut head = self.head.lock().unwrap_or_else(PoisonError::into_inner);
-            head.scan(&buffer[..count])?;
+            self.head().scan(&buffer[..count])?;
         }
         self.bound(cx, outcome)
     }
--- a/http/tests/limits.rs
+++ b/http/tests/limits.rs
@@ -85,6 +85,25 @@
     }
 }
 
+#[test]
+fn endless_body() {
+    let limits = Limits {
+        connections: 1,
+        stall: Duration::from_millis(300),
+    };
+    let server = smol::block_on(Server::start_with(free(), limits, ok)).unwrap();
+    let mut caller = TcpStream::connect(server.address()).unwrap();
+    let head = "POST / HTTP/1.1\r\nhost: a\r\ncontent-length: 1000000\r\n\r\n";
+    caller.write_all(head.as_bytes()).unwrap();
+    let start = Instant::now();
+    // The answer comes at once; the body that no handler reads must not hold the connection.
+    while caller.write_all(b"a").is_ok() {
+        assert!(start.elapsed() < Duration::from_secs(5), "never closed");
+        std::thread::sleep(Duration::from_millis(20));
+    }
+    assert!(start.elapsed() > Duration::from_millis(250));
+}
+
 #[test]
 fn bad_answers() {
     smol::block_on(async {
