--- a/http/src/lib.rs
+++ b/http/src/lib.rs
@@ -5,11 +5,13 @@
 
 mod client;
 mod error;
+mod limits;
 mod meter;
 mod peer;
 mod pipe;
 mod reply;
 mod server;
+mod socket;
 mod sse;
 mod traffic;
 
@@ -18,6 +20,7 @@
 pub use client::Reuse;
 pub use error::Error;
 pub use http_types;
+pub use limits::Limits;
 pub use peer::Peer;
 pub use pipe::pipe;
 pub use pipe::Writer;
--- a/src/daemon/api/completion.rs
+++ b/src/daemon/api/completion.rs
@@ -4,7 +4,7 @@
 use jujubehook_http::http_types::{Request, Response};
 use jujubehook_http::Peer;
 
-use super::prompt::{prefix, Form, Prompt};
+use super::prompt::{Form, Prompt};
 use super::{answer, caller, failed};
 use crate::daemon::answer::{Answer, Question};
 use crate::daemon::state::{unguessable, Active, State};
@@ -12,6 +12,7 @@
 use crate::event;
 use crate::event::hex;
 use crate::id::tokens;
+use crate::route::prefix;
 use crate::target::Class;
 
 /// Answers a completion request, as a stream or whole.
@@ -49,7 +50,7 @@
                 state.source,
                 "refused",
                 kind = error.kind().name(),
-                reason = error.message()
+                reason = error.reason()
             );
             failed(&error)
         }
@@ -64,8 +65,8 @@
     let start = state.clock.now();
     let workspace = caller::workspace(state, request)?;
     let limit: Duration = caller::deadline(state, request)?;
-    let active = state.enter()?;
-    let bytes = caller::body(state, request).await?;
+    let mut active = state.enter()?;
+    let bytes = caller::body(&mut active, request, state.settings.limits.body, limit).await?;
     let prompt = Prompt::parse(&bytes)?;
     drop(bytes);
     state.fold().permits(
--- a/src/daemon/calls.rs
+++ b/src/daemon/calls.rs
@@ -14,7 +14,7 @@
 use crate::target::Class;
 use crate::wire::{Call, Reply};
 
-/// Attempts for one call; more of them mean that no target can take it.
+/// Attempts for one call that did not end with a moved target; more of them mean that no target can take it.
 const ATTEMPT_LIMIT: u32 = 64;
 
 /// Wait before targets that were tried are tried again.
@@ -24,14 +24,30 @@
 ///
 /// `check` is asked immediately before each attempt.
 pub(super) async fn dispatch(
+    state: &Arc<State>,
+    call: Call,
+    check: impl Fn() -> Result<(), Error>,
+) -> Result<Reply, Error> {
+    let mut reached = false;
+    let outcome = repeat(state, call, check, &mut reached).await;
+    if reached {
+        return outcome.map_err(Error::after_attempt);
+    }
+    outcome
+}
+
+/// Sets `reached` once an attempt may have reached a target.
+async fn repeat(
     state: &Arc<State>,
     mut call: Call,
     check: impl Fn() -> Result<(), Error>,
+    reached: &mut bool,
 ) -> Result<Reply, Error> {
     let deadline = state.clock.now() + Duration::from_millis(call.deadline_ms);
     let mut tried = Vec::new();
     lock(&state.budget).attempt();
-    for _ in 0..ATTEMPT_LIMIT {
+    let mut attempts = 0;
+    while attempts < ATTEMPT_LIMIT {
         let now = state.clock.now();
         let left = deadline.saturating_sub(now);
         if left.is_zero() {
@@ -54,9 +70,12 @@
             Ok(reply) => return Ok(reply),
             Err(error) => error,
         };
+        *reached |= error.kind().executed() == Executed::Unknown;
         if !may_repeat(state, &call, &error) {
             return Err(error);
         }
+        // A moved target gets an owner within a lease.
+        attempts += u32::from(error.kind() != Kind::Moved);
         event!(
             state.source,
             "retry",
--- a/src/route/mod.rs
+++ b/src/route/mod.rs
@@ -8,6 +8,7 @@
 mod candidate;
 mod least_loaded;
 mod pool;
+mod prefix;
 mod round_robin;
 
 use std::time::Duration;
@@ -16,6 +17,8 @@
 pub use ask::Ask;
 pub use candidate::Candidate;
 pub use least_loaded::LeastLoaded;
+pub use prefix::prefix;
+pub use prefix::BLOCK_TOKENS;
 pub use round_robin::RoundRobin;
 
 use crate::error::{Error, Kind};
@@ -29,10 +32,10 @@
     fn owned(&self) -> bool;
 }
 
-/// The policy called `name`: `affinity`, `least-loaded` or `round-robin`.
-pub fn policy(name: &str) -> Result<Box<dyn Policy>, Error> {
+/// The policy called `name`: `affinity`, `least-loaded` or `round-robin`. Only affinity packs long prompts.
+pub fn policy(name: &str, packing: bool) -> Result<Box<dyn Policy>, Error> {
     match name {
-        "affinity" => Ok(Box::new(Affinity::default())),
+        "affinity" => Ok(Box::new(Affinity::new(packing))),
         "least-loaded" => Ok(Box::new(LeastLoaded::default())),
         "round-robin" => Ok(Box::new(RoundRobin::default())),
         _ => Err(Error::new(
--- /dev/null
+++ b/tests/load_report.rs
@@ -0,0 +1,145 @@
+//! The load generator: its arrivals are a function of the seed, and its report finds no broken promise on a healthy
+//! fleet.
+
+use std::time::Duration;
+
+use jujubehook::load::{measure, Caller, Fleet, Plan, Profile, Settings, Work};
+use jujubehook::settings::Queue;
+use jujubehook::target::Class;
+use jujubehook_http::http_types::Method;
+use jujubehook_http::{Client, Reuse};
+use jujubehook_standin::engine;
+
+/// Guards against comparisons of runs that had different arrivals.
+#[test]
+fn same_seed() {
+    let profile = Profile::default();
+    assert_eq!(profile.arrivals(), profile.arrivals());
+    let other = Profile {
+        seed: 2,
+        ..profile.clone()
+    };
+    assert_ne!(profile.arrivals(), other.arrivals());
+}
+
+/// Guards against a run without long prompts that differs in more than the long prompts.
+#[test]
+fn without_long() {
+    let profile = Profile::default();
+    let mut kept = profile.arrivals();
+    kept.retain(|arrival| arrival.class() != Some(Class::Long));
+    let short = Profile {
+        long: false,
+        ..profile.clone()
+    };
+    assert_eq!(short.arrivals(), kept);
+}
+
+/// Guards against a mix other than the stated one: 1 prompt in 50 above 100,000 tokens, two workspaces with half of it.
+#[test]
+fn stated_mix() {
+    let profile = Profile {
+        seconds: 2_000.0,
+        ..Profile::default()
+    };
+    let arrivals = profile.arrivals();
+    let lengths: Vec<u64> = arrivals
+        .iter()
+        .filter_map(|arrival| match arrival.work {
+            Work::Prompt { tokens, .. } => Some(tokens),
+            Work::Question | Work::Sale { .. } => None,
+        })
+        .collect();
+    let share = |count: usize, total: usize| count as f64 / total as f64;
+    let huge = lengths.iter().filter(|tokens| **tokens > 100_000).count();
+    assert!((share(huge, lengths.len()) - 0.02).abs() < 0.002);
+    assert!(lengths
+        .iter()
+        .all(|tokens| (1_000..=1_000_000).contains(tokens)));
+    let large = arrivals.iter().filter(|one| one.workspace < 2).count();
+    assert!((share(large, arrivals.len()) - 0.5).abs() < 0.01);
+    assert!((arrivals.len() as f64 / 2_000.0 - profile.rate).abs() < 1.0);
+}
+
+/// Guards against wrong answers, crashes of cold engines and doubled or lost sales under an ordinary load, and against
+/// arrivals that the report does not count.
+#[test]
+fn small_fleet() {
+    let plan = Plan {
+        fleet: Settings {
+            domains: 2,
+            engines: 2,
+            instances: 2,
+            ..Settings::default()
+        },
+        profile: Profile {
+            long: false,
+            rate: 10.0,
+            seconds: 5.0,
+            ..Profile::default()
+        },
+        warm_up: 0.0,
+        ..Plan::default()
+    };
+    let report = smol::block_on(measure(&plan)).expect("the fleet starts");
+    assert_eq!(report.violations(), Vec::<String>::new());
+    let counted: usize = report.classes.iter().map(|row| row.arrivals).sum();
+    assert_eq!(counted, plan.profile.arrivals().len());
+    let ended: usize = report
+        .classes
+        .iter()
+        .map(|row| row.ok + row.late + row.refused + row.failed + row.wrong)
+        .sum();
+    assert_eq!(counted, ended);
+    assert!(report.row("short").is_some_and(|row| row.ok > 0));
+    assert!(report.sales.committed > 0);
+}
+
+/// Guards against prompt text in the count of control bytes: the pieces of a gang were counted.
+#[test]
+fn control_bytes() {
+    let (memory, prompt) = (8_000, "lot ".repeat(12_000));
+    let settings = Settings {
+        domains: 1,
+        engine: engine::Settings {
+            cold: false,
+            memory,
+            ..engine::Settings::default()
+        },
+        engines: 4,
+        instances: 3,
+        queue: Queue {
+            memory,
+            ..Queue::default()
+        },
+        ..Settings::default()
+    };
+    let sent = smol::block_on(async {
+        let fleet = Fleet::start(settings).await.unwrap();
+        let before = control(&fleet).await;
+        let caller = Caller::new("key-0");
+        for entry in fleet.entries() {
+            let limit = Duration::from_secs(30);
+            let answer = caller.complete(entry, "resin", &prompt, 4, limit).await;
+            assert_eq!(answer.error, None);
+        }
+        control(&fleet).await - before
+    });
+    // Three prompts of 48 kB went through the gangs of three instances that own different engines.
+    assert!(sent < 24_000.0, "{sent} control bytes");
+}
+
+/// Control bytes that all instances of a fleet have sent.
+async fn control(fleet: &Fleet) -> f64 {
+    let client = Client::default();
+    let mut sum = 0.0;
+    for entry in fleet.entries() {
+        let request = Client::request(Method::Get, entry, "/metrics").unwrap();
+        let answer = client.fetch(entry, request, Reuse::Never, 1 << 20).await;
+        let text = String::from_utf8(answer.unwrap().1).unwrap();
+        let name = "jujubehook_control_sent_bytes_total ";
+        let value = text.lines().find_map(|line| line.strip_prefix(name));
+        sum += value.unwrap().parse::<f64>().unwrap();
+    }
+    sum
+}
--- a/tests/owner_lease.rs
+++ b/tests/owner_lease.rs
@@ -117,6 +117,16 @@
     }
 }
 
+#[test]
+fn isolated_yields() {
+    let mut net = Net::new(&["a", "b", "c"], TARGETS);
+    net.run(4000);
+    net.cut("a", "b");
+    net.run(8000);
+    assert_eq!(net.owned("a"), 0, "`b` does not hear `a`");
+    assert_eq!(net.owned("b") + net.owned("c"), TARGETS);
+}
+
 #[test]
 fn pair_cut() {
     let mut net = Net::new(&["a", "b", "c"], TARGETS);
@@ -135,6 +145,7 @@
 fn stale_beats() {
     let mut table = Table::new("a".into(), 1, Settings::default(), Duration::ZERO);
     let beat = |incarnation, sequence, offset| Beat {
+        dropped: 0,
         echo: 0,
         echo_incarnation: 0,
         from: "b".into(),
@@ -165,3 +176,23 @@
         "stale heartbeats renew nothing"
     );
 }
+
+#[test]
+fn forgotten_peer() {
+    let mut a = Table::new("a".into(), 1, Settings::default(), Duration::ZERO);
+    let mut b = Table::new("b".into(), 2, Settings::default(), Duration::ZERO);
+    let mut now = Duration::ZERO;
+    for _ in 0..5 {
+        let beat = a.beat(&"b".into(), now);
+        b.hear(&beat, now);
+    }
+    for _ in 0..700 {
+        now += Duration::from_millis(100);
+        a.tick(now);
+        b.tick(now);
+        b.beat(&"a".into(), now);
+    }
+    let beat = a.beat(&"b".into(), now);
+    b.hear(&beat, now);
+    assert_eq!(b.live(now), ["a"], "numbers go on after a long silence");
+}
