load: Sum the control bytes of all channels

Cause: the report and tests/load_report.rs looked for the counter without a label, which has a series per channel since the control bytes are counted in full. The report showed no control bytes, and `control_bytes` failed.

Change: both sum all channels.

--- a/src/load/measure.rs
+++ b/src/load/measure.rs
@@ -21,8 +21,8 @@
 /// Largest accepted metrics in bytes.
 const METRICS_SIZE: usize = 4 << 20;
 
-/// Counter of control bytes.
-const CONTROL: &str = "jujubehook_control_sent_bytes_total ";
+/// Counter of control bytes, with one series for each channel.
+const CONTROL: &str = "jujubehook_control_sent_bytes_total{";
 
 /// Runs a load and counts what came of it.
 ///
@@ -125,13 +125,23 @@
         let answer = within(METRICS_LIMIT, call).await.ok();
         sent.push(answer.and_then(|(_, bytes)| {
             let text = String::from_utf8_lossy(&bytes).into_owned();
-            let line = text.lines().find_map(|line| line.strip_prefix(CONTROL))?;
-            line.trim().parse().ok()
+            control_bytes(&text)
         }));
     }
     sent
 }
 
+/// Sum over all channels; `None` if the page has no such counter.
+fn control_bytes(page: &str) -> Option<f64> {
+    let lines = page.lines().filter(|line| line.starts_with(CONTROL));
+    let values: Option<Vec<f64>> = lines
+        .map(|line| line.rsplit(' ').next()?.parse().ok())
+        .collect();
+    values
+        .filter(|values| !values.is_empty())
+        .map(|values| values.iter().sum())
+}
+
 fn rates(before: &[Option<f64>], after: &[Option<f64>], time: Duration) -> Control {
     let pairs = before.iter().zip(after);
     let rates: Vec<f64> = pairs
--- a/tests/load_report.rs
+++ b/tests/load_report.rs
@@ -137,9 +137,11 @@
         let request = Client::request(Method::Get, entry, "/metrics").unwrap();
         let answer = client.fetch(entry, request, Reuse::Never, 1 << 20).await;
         let text = String::from_utf8(answer.unwrap().1).unwrap();
-        let name = "jujubehook_control_sent_bytes_total ";
-        let value = text.lines().find_map(|line| line.strip_prefix(name));
-        sum += value.unwrap().parse::<f64>().unwrap();
+        for channel in ["heartbeat", "list", "log", "peer", "target"] {
+            let name = format!("jujubehook_control_sent_bytes_total{{channel=\"{channel}\"}} ");
+            let value = text.lines().find_map(|line| line.strip_prefix(&name));
+            sum += value.unwrap().parse::<f64>().unwrap();
+        }
     }
     sum
 }
