--- a/src/daemon/answer.rs
+++ b/src/daemon/answer.rs
@@ -8,7 +8,7 @@
 use super::frames::Frames;
 use super::long;
 use super::state::{lock, unguessable, State};
-use crate::error::{Error, Kind};
+use crate::error::{Error, Executed, Kind};
 use crate::event;
 use crate::event::hex;
 use crate::id::{tokens, AttemptId, ModelId, RequestId, TargetId, Tokens, WorkspaceId};
@@ -16,12 +16,15 @@
 use crate::target::Class;
 use crate::wire::{Body, Run};
 
-/// Attempts for one request that did not end with a moved target; more of them mean that no target can take it.
+/// Attempts for one request; more of them mean that no target can take it.
 const ATTEMPT_LIMIT: u32 = 64;
 
 /// Wait before a target is tried again that was tried before, for example while it gets a new owner.
 const REPEAT_PAUSE: Duration = Duration::from_millis(50);
 
+/// Longest of these waits, which double each time.
+const REPEAT_PAUSE_MAX: Duration = Duration::from_millis(400);
+
 /// Targets that may refuse a deadline before the refusal is final.
 const DEADLINE_REFUSALS: u32 = 3;
 
@@ -55,7 +58,10 @@
     attempts: u32,
     frames: Option<Frames>,
     gang: Option<long::Gang>,
+    pause: Duration,
     question: Question,
+    /// Whether an attempt may have reached a target.
+    reached: bool,
     refusals: u32,
     sent: u64,
     start: u64,
@@ -77,7 +83,9 @@
             attempts: 0,
             frames: None,
             gang: None,
+            pause: REPEAT_PAUSE,
             question,
+            reached: false,
             refusals: 0,
             sent: 0,
             start: 0,
@@ -91,20 +99,23 @@
     pub(crate) async fn next(&mut self) -> Result<Step, Error> {
         let now = self.state.clock.now();
         let left = self.question.deadline.saturating_sub(now) + DEADLINE_GRACE;
-        future::or(self.step(), async {
+        let outcome = future::or(self.step(), async {
             Timer::after(left).await;
             Err(Error::new(
                 Kind::DeadlineExceeded,
                 "the deadline passed before the answer was complete",
             ))
         })
-        .await
+        .await;
+        if self.reached {
+            return outcome.map_err(Error::after_attempt);
+        }
+        outcome
     }
 
     async fn step(&mut self) -> Result<Step, Error> {
         loop {
             let outcome = match self.frames.take() {
-                // The attempts of a gang make a large future, which on the stack would overflow it.
                 None => Box::pin(self.open()).await,
                 Some(mut frames) => {
                     let body = match &self.gang {
@@ -140,7 +151,7 @@
                 target,
             } => {
                 lock(&self.state.loads).set(&target, load, now);
-                if self.start + count != self.sent {
+                if self.start.checked_add(count) != Some(self.sent) {
                     let message = "the answer has fewer tokens than its target counted";
                     self.retry(Error::new(Kind::UpstreamFailed, message))
                         .await?;
@@ -158,10 +169,12 @@
                 Ok(None)
             }
             Body::Start { load } => {
+                self.reached = true;
                 lock(&self.state.loads).set(&self.target, load, now);
                 Ok(None)
             }
             Body::Token { text, .. } => {
+                self.reached = true;
                 self.sent += 1;
                 // A later attempt continues after the tokens that the caller has.
                 self.question.prompt.push_str(&text);
@@ -175,8 +188,16 @@
         self.frames = None;
         self.gang = None;
         let kind = error.kind();
+        self.reached |= kind.executed() == Executed::Unknown;
         let repeatable = kind.retriable() || matches!(kind, Kind::UpstreamFailed | Kind::Stalled);
-        if !repeatable || self.attempts >= ATTEMPT_LIMIT {
+        if !repeatable {
+            return Err(error);
+        }
+        // A moved target costs nothing; it is tried elsewhere until the deadline.
+        if kind != Kind::Moved {
+            self.attempts += 1;
+        }
+        if self.attempts >= ATTEMPT_LIMIT {
             return Err(error);
         }
         if kind == Kind::DeadlineRefused {
@@ -185,12 +206,8 @@
                 return Err(error);
             }
         }
-        // A moved target costs nothing, and gets an owner within a lease; every other retry adds load and is limited.
-        if kind != Kind::Moved {
-            self.attempts += 1;
-            if !lock(&self.state.budget).spend() {
-                return Err(error);
-            }
+        if kind != Kind::Moved && !lock(&self.state.budget).spend() {
+            return Err(error);
         }
         self.state.metrics.retry();
         event!(
@@ -237,7 +254,7 @@
             .iter()
             .any(|candidate| fits(candidate, ask.prompt + ask.max_tokens))
         {
-            self.pause().await?;
+            self.wait().await?;
             return Ok(None);
         }
         self.open_gang(attempt).await?;
@@ -248,6 +265,7 @@
         let left = self.question.max_tokens - self.sent;
         let pool = || candidates(&self.state, self.question.class(), &self.question.model);
         let gang = long::prepare(&self.state, &self.question, left, pool).await?;
+        self.reached = true;
         self.target = gang.target().clone();
         let mut run = self.run(attempt, gang.context());
         // The whole prompt is in the handles of the gang.
@@ -258,13 +276,18 @@
     }
 
     /// Waits before targets that were tried are tried again.
-    async fn pause(&mut self) -> Result<(), Error> {
-        if self.state.clock.now() + REPEAT_PAUSE >= self.question.deadline {
+    async fn wait(&mut self) -> Result<(), Error> {
+        if self.state.clock.now() + self.pause >= self.question.deadline {
+            let kind = match self.refusals {
+                0 => Kind::Unavailable,
+                _ => Kind::DeadlineRefused,
+            };
             let message = "no target can take the request before its deadline";
-            return Err(Error::new(Kind::Unavailable, message));
+            return Err(Error::new(kind, message));
         }
         self.tried.clear();
-        Timer::after(REPEAT_PAUSE).await;
+        Timer::after(self.pause).await;
+        self.pause = (self.pause * 2).min(REPEAT_PAUSE_MAX);
         Ok(())
     }
 
--- a/src/daemon/api/mod.rs
+++ b/src/daemon/api/mod.rs
@@ -9,7 +9,7 @@
 
 use std::sync::Arc;
 
-use jujubehook_http::http_types::{Method, Request, Response, StatusCode};
+use jujubehook_http::http_types::{Method, Request, Response};
 use jujubehook_http::{json, text, Peer};
 
 use super::state::State;
@@ -20,17 +20,29 @@
     let path = request.url().path().to_owned();
     match (request.method(), path.as_str()) {
         (Method::Get, "/healthz") => text(200, "ok\n"),
-        (Method::Get, "/metrics") => text(200, state.metrics.render()),
+        (Method::Get, "/metrics") => metrics(&state),
         (Method::Get, "/readyz") => ready(&state),
         (Method::Post, "/v1/chat/completions") => {
-            completion::serve(&state, request, &peer, prompt::Form::Chat).await
+            Box::pin(completion::serve(
+                &state,
+                request,
+                &peer,
+                prompt::Form::Chat,
+            ))
+            .await
         }
         (Method::Post, "/v1/completions") => {
-            completion::serve(&state, request, &peer, prompt::Form::Text).await
+            Box::pin(completion::serve(
+                &state,
+                request,
+                &peer,
+                prompt::Form::Text,
+            ))
+            .await
         }
         (Method::Post, "/v1/keys") => key::serve(&state, &request),
         (Method::Post, path) => match service::split(path) {
-            Some((service, call)) => service::serve(&state, request, service, call).await,
+            Some((service, call)) => Box::pin(service::serve(&state, request, service, call)).await,
             None => unknown(path),
         },
         _ => unknown(&path),
@@ -48,6 +60,11 @@
     response
 }
 
+fn metrics(state: &State) -> Response {
+    state.metrics.owned_targets(state.owned_targets());
+    text(200, state.metrics.render())
+}
+
 fn ready(state: &State) -> Response {
     if state.is_ready() {
         return text(200, "ready\n");
@@ -55,11 +72,9 @@
     text(503, "not ready\n")
 }
 
-fn unknown(path: &str) -> Response {
-    let mut response = failed(&Error::new(
+pub(super) fn unknown(path: &str) -> Response {
+    failed(&Error::new(
         Kind::BadRequest,
         format!("no such path or method: `{path}`"),
-    ));
-    response.set_status(StatusCode::NotFound);
-    response
+    ))
 }
--- a/src/daemon/serve/mod.rs
+++ b/src/daemon/serve/mod.rs
@@ -1,6 +1,7 @@
 //! The owner's side: queue, dispatch and relay of one target's work.
 
 mod call;
+mod connect;
 mod engine;
 mod handle;
 mod hold;
@@ -13,6 +14,7 @@
 pub(crate) use call::call;
 pub(crate) use hold::drop_handles;
 pub(crate) use hold::hold;
+pub(crate) use hold::HOLD_LIFETIME;
 pub(crate) use output::Output;
 pub(crate) use run::boundary;
 pub(crate) use run::run;
--- a/src/daemon/state.rs
+++ b/src/daemon/state.rs
@@ -12,7 +12,7 @@
 use crate::error::{Error, Kind};
 use crate::event::Source;
 use crate::id::{Incarnation, InstanceId, TargetId};
-use crate::metric::Registry;
+use crate::metric::{Channel, Registry};
 use crate::owner;
 use crate::platform::{self, Listing, Log, Member, Role};
 use crate::record::Fold;
@@ -43,6 +43,8 @@
     pub(crate) source: Source,
     active: AtomicUsize,
     alarm: Mutex<Option<String>>,
+    /// Bytes of the bodies of all requests in progress.
+    bodies: AtomicUsize,
     controller: AtomicBool,
     fold: RwLock<Arc<Fold>>,
     leaving: AtomicBool,
@@ -52,22 +54,39 @@
     synced: AtomicBool,
 }
 
-/// Counts a request as in progress until it is dropped.
+/// Counts a request and its body as in progress until it is dropped.
 pub(crate) struct Active {
+    bytes: usize,
     state: Arc<State>,
 }
 
+impl Active {
+    /// Counts more bytes of the body, up to the limit of the settings.
+    pub(crate) fn grow(&mut self, bytes: usize) -> Result<(), Error> {
+        self.bytes += bytes;
+        let before = self.state.bodies.fetch_add(bytes, Ordering::AcqRel);
+        if before + bytes <= self.state.settings.limits.memory {
+            return Ok(());
+        }
+        let message = "the instance holds as many bytes of requests as it may";
+        Err(Error::new(Kind::Overloaded, message))
+    }
+}
+
 impl Drop for Active {
     fn drop(&mut self) {
         self.state.active.fetch_sub(1, Ordering::AcqRel);
+        self.state.bodies.fetch_sub(self.bytes, Ordering::AcqRel);
     }
 }
 
 impl State {
     pub(crate) fn new(settings: Settings, clock: Arc<Clock>) -> Result<Self, Error> {
         let incarnation = unguessable();
-        let policy = route::policy(&settings.policy)?;
+        let policy = route::policy(&settings.policy, settings.queue.packing)?;
         let network = &settings.network;
+        let metrics =
+            Registry::new().map_err(|error| Error::new(Kind::Internal, error.to_string()))?;
         let table = owner::Table::new(
             settings.instance.clone(),
             incarnation,
@@ -83,18 +102,19 @@
         Ok(Self {
             active: AtomicUsize::new(0),
             alarm: Mutex::default(),
+            bodies: AtomicUsize::new(0),
             controller: AtomicBool::new(false),
             budget: Mutex::new(Budget::new(RETRY_SHARE, RETRY_BURST)),
             claims: Claims::new(&settings.instance, incarnation),
-            client: Client::default(),
+            client: Client::metered(metrics.traffic(Channel::Target).clone()),
             fold: RwLock::default(),
             incarnation,
             leaving: AtomicBool::new(false),
             listing: RwLock::default(),
             loads: Mutex::default(),
-            log: Log::new(network.log, platform::Settings::default()),
-            metrics: Registry::new()
-                .map_err(|error| Error::new(Kind::Internal, error.to_string()))?,
+            log: Log::new(network.log, platform::Settings::default())
+                .metered(metrics.traffic(Channel::Log).clone()),
+            metrics,
             outlier: Mutex::default(),
             owned: policy.owned(),
             owner: Mutex::new(table),
@@ -111,6 +131,7 @@
     pub(crate) fn enter(self: &Arc<Self>) -> Result<Active, Error> {
         let before = self.active.fetch_add(1, Ordering::AcqRel);
         let active = Active {
+            bytes: 0,
             state: self.clone(),
         };
         if before >= self.settings.limits.requests {
@@ -234,10 +255,7 @@
         let Some(member) = listing.member(target) else {
             return false;
         };
-        let fold = self.fold();
-        member.state == platform::State::Live
-            && fold.domain_in_service(&member.domain)
-            && !fold.target(target).is_some_and(|record| record.leaving)
+        takes_work(&self.fold(), member)
     }
 
     /// Whether targets have owners under the routing policy in use.
@@ -245,6 +263,17 @@
         self.owned
     }
 
+    /// Number of targets of the own domain that this instance dispatches to.
+    pub(crate) fn owned_targets(&self) -> usize {
+        let now = self.clock.now();
+        let targets = self.targets();
+        let owner = lock(&self.owner);
+        targets
+            .iter()
+            .filter(|target| owner.may_dispatch(target, now))
+            .count()
+    }
+
     /// Other instances of the own domain by the instance list.
     pub(crate) fn peers(&self) -> Vec<Member> {
         self.entries(&self.settings.domain)
@@ -333,6 +362,13 @@
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
 
+/// Whether a record and the member's state let a listed target take new work.
+pub(crate) fn takes_work(fold: &Fold, member: &Member) -> bool {
+    member.state == platform::State::Live
+        && fold.domain_in_service(&member.domain)
+        && !fold.target(&member.id).is_some_and(|record| record.leaving)
+}
+
 /// An id that other parties cannot guess.
 pub(crate) fn unguessable() -> u64 {
     // Without the operating system's random source no id is safe; fastrand then still keeps ids distinct.
--- a/src/daemon/task/pump.rs
+++ b/src/daemon/task/pump.rs
@@ -28,7 +28,7 @@
             slot.pump(&state);
             // Work that came while this instance was about to get the target, or whose prefill is between two pieces.
             if is_elsewhere(&state, slot.target()) {
-                slot.drain(&state);
+                slot.evict(&state);
             }
         }
         Timer::after(INTERVAL).await;
@@ -71,7 +71,7 @@
         }
     });
     if !serving {
-        let moved = slot.drain(state);
+        let moved = slot.evict(state);
         if moved > 0 {
             event!(
                 state.source,
