gang: Plan with the memory that a hold can get

Long prompts of more than one engine waited up to 93 s (p95) for memory that was there. The plan used the free memory of a target, which contains the reserve of short prompts that a hold may not have, so that the same refused plan was made every 200 ms; and a refusal did not tell the target's load, so that an instance planned with an old report.

Load has `holdable` now, the memory that a new hold can get, and every answer to a hold carries the load. Pieces of a gang's part count as long in the load, so that short prompts avoid the engine that prefills them.

--- a/src/daemon/long.rs
+++ b/src/daemon/long.rs
@@ -121,7 +121,7 @@
     candidates: &[Candidate],
 ) -> Option<Vec<Part>> {
     let free = |candidate: &Candidate| match &candidate.load {
-        Some(load) => load.free.min(capacity(candidate)),
+        Some(load) => load.holdable.min(capacity(candidate)),
         None => capacity(candidate),
     };
     let all = offers(candidates, free);
--- a/src/daemon/peer.rs
+++ b/src/daemon/peer.rs
@@ -63,7 +63,7 @@
             .await
         }
         "/peer/fold" => reply(bytes, |(): ()| async move { Ok(state.fold().snapshot()) }).await,
-        "/peer/hold" => reply(bytes, |hold: Hold| serve::hold(state, hold)).await,
+        "/peer/hold" => reply(bytes, |hold: Hold| serve::reserve(state, hold)).await,
         "/peer/once" => reply(bytes, |call: Call| once::run(state, call)).await,
         "/peer/prefill" => {
             let work = reply(bytes, |segment: Segment| serve::segment(state, segment));
--- a/src/daemon/serve/hold.rs
+++ b/src/daemon/serve/hold.rs
@@ -3,12 +3,12 @@
 
 use super::handle::forget;
 use crate::daemon::client;
-use crate::daemon::state::State;
+use crate::daemon::state::{lock, State};
 use crate::error::{Error, Kind};
 use crate::event;
 use crate::event::hex;
 use crate::id::{AttemptId, TargetId};
-use crate::wire::Hold;
+use crate::wire::{Held, Hold};
 
 /// Time after which a reservation that is not renewed is released.
 pub(crate) const HOLD_LIFETIME: Duration = Duration::from_secs(5);
@@ -17,27 +17,44 @@
 const FORWARD_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Takes, renews or releases a reservation on a target, here or at the target's owner.
-pub(crate) async fn hold(state: &Arc<State>, mut hold: Hold) -> Result<(), Error> {
+pub(crate) async fn hold(state: &Arc<State>, hold: Hold) -> Result<(), Error> {
+    let target = hold.target.clone();
+    if reserve(state, hold).await?.held {
+        return Ok(());
+    }
+    let message = format!("`{target}` has not enough free memory");
+    Err(Error::new(Kind::Overloaded, message))
+}
+
+/// The same; a refusal comes with the load, so that the next plan does not ask for the same memory again.
+pub(crate) async fn reserve(state: &Arc<State>, mut hold: Hold) -> Result<Held, Error> {
     let Some(peer) = state.route(&hold.target, hold.hops)? else {
         return local(state, &hold);
     };
     hold.hops += 1;
-    client::call(state, &peer, "/peer/hold", &hold, FORWARD_TIMEOUT).await
+    let held: Held = client::call(state, &peer, "/peer/hold", &hold, FORWARD_TIMEOUT).await?;
+    let now = state.clock.now();
+    lock(&state.loads).set(&hold.target, held.load.clone(), now);
+    Ok(held)
 }
 
-fn local(state: &Arc<State>, hold: &Hold) -> Result<(), Error> {
+fn local(state: &Arc<State>, hold: &Hold) -> Result<Held, Error> {
     let slot = state.slot(&hold.target);
+    let answer = |held| Held {
+        held,
+        load: slot.load(state.clock.now()),
+    };
     if hold.release {
         let handles = slot.release(state, hold.part);
         drop_handles(state, &hold.target, handles);
-        return Ok(());
+        return Ok(answer(true));
     }
     if !slot.claims(hold.part) && !state.may_dispatch(&hold.target) {
         let message = format!("`{}` takes no new work here", hold.target);
         return Err(Error::new(Kind::Moved, message));
     }
     if slot.hold(state, hold) {
-        return Ok(());
+        return Ok(answer(true));
     }
     event!(
         state.source,
@@ -46,8 +63,7 @@
         part = hex(hold.part),
         tokens = hold.tokens
     );
-    let message = format!("`{}` has not enough free memory", hold.target);
-    Err(Error::new(Kind::Overloaded, message))
+    Ok(answer(false))
 }
 
 /// Drops handles on a target in the background.
--- a/src/daemon/serve/mod.rs
+++ b/src/daemon/serve/mod.rs
@@ -13,6 +13,7 @@
 pub(crate) use call::call;
 pub(crate) use hold::drop_handles;
 pub(crate) use hold::hold;
+pub(crate) use hold::reserve;
 pub(crate) use hold::HOLD_LIFETIME;
 pub(crate) use output::Output;
 pub(crate) use run::boundary;
--- a/src/target/load.rs
+++ b/src/target/load.rs
@@ -16,6 +16,8 @@
     pub free: Tokens,
     /// Whether the queue limit is reached.
     pub full: bool,
+    /// Memory that a new gang hold may have at most; less than `free` by what remains of the reserve, 0 without a slot.
+    pub holdable: Tokens,
     /// Long prompts whose prefill is not finished, waiting ones included.
     pub long: u32,
     /// Requests in the queue.
--- a/src/target/scheduler.rs
+++ b/src/target/scheduler.rs
@@ -184,7 +184,7 @@
     pub fn hold(&mut self, request: AttemptId, tokens: Tokens, _now: Duration) -> bool {
         let at = self.holds.binary_search_by_key(&request, |hold| hold.0);
         let own = at.map_or(0, |at| self.holds[at].1);
-        if self.leaving || !self.holdable(own, tokens) {
+        if tokens == 0 || tokens > self.holdable(own) {
             return at.is_ok() && tokens <= own;
         }
         match at {
@@ -269,7 +269,12 @@
     /// What routing sees.
     pub fn load(&self, now: Duration) -> Load {
         let bounds = self.bounds();
-        let long = |entry: &Entry| entry.class == Class::Long;
+        // The pieces of a gang's part are of medium length, but follow each other like those of a long prompt.
+        let long = |entry: &Entry| match entry.class {
+            Class::Long => true,
+            Class::Medium => entry.item.held,
+            Class::Short => false,
+        };
         let waiting = self.waiting.iter().filter(|entry| long(entry)).count();
         let flying = self
             .flying
@@ -281,6 +286,7 @@
             capacity: self.capacity(Class::Long),
             free: self.memory.saturating_sub(bounds.usage.memory),
             full: self.waiting.len() >= self.settings.queue_limit,
+            holdable: self.holdable(0),
             long: (waiting + flying) as u32,
             queued: self.waiting.len() as u32,
             running: bounds.usage.slots,
@@ -372,17 +378,18 @@
         }
     }
 
-    fn holdable(&self, own: Tokens, tokens: Tokens) -> bool {
+    /// Memory that a hold may have which has `own` so far.
+    fn holdable(&self, own: Tokens) -> Tokens {
         let bounds = self.bounds();
         let usage = &bounds.usage;
-        let memory = capacity(self.memory, &self.settings);
         let slots = capacity(bounds.slots.into(), &self.settings) as u32;
+        let has_slot = usage.slots < bounds.slots && usage.slots - usage.short_slots < slots;
+        if self.leaving || (own == 0 && !has_slot) {
+            return 0;
+        }
         let others = usage.memory - usage.short_memory - own;
-        let total = usage.memory - own;
-        let slot =
-            own > 0 || (usage.slots < bounds.slots && usage.slots - usage.short_slots < slots);
-        slot && others.saturating_add(tokens) <= memory
-            && total.saturating_add(tokens) <= self.memory
+        let unreserved = capacity(self.memory, &self.settings).saturating_sub(others);
+        unreserved.min(self.memory.saturating_sub(usage.memory - own))
     }
 
     /// Order in the queue. All keys fall behind `now` at the same pace, so that they stay valid while queued.
--- a/src/wire/hold.rs
+++ b/src/wire/hold.rs
@@ -1,6 +1,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::id::{AttemptId, TargetId, Tokens};
+use crate::target::Load;
 
 /// Reservation of memory on one target for a part of a long prompt; the same message renews it.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -19,6 +20,15 @@
     pub tokens: Tokens,
 }
 
+/// Answer to a [`Hold`].
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Held {
+    /// Whether the memory is reserved, or given back if that was asked.
+    pub held: bool,
+    /// Load of the target after that.
+    pub load: Load,
+}
+
 /// A piece of a long prompt to prefill into the handle of a part.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Segment {
--- a/src/wire/mod.rs
+++ b/src/wire/mod.rs
@@ -22,6 +22,7 @@
 pub use failure::Failure;
 pub use frame::Body;
 pub use frame::Frame;
+pub use hold::Held;
 pub use hold::Hold;
 pub use hold::Segment;
 pub use run::Run;
--- a/tests/reserve_share.rs
+++ b/tests/reserve_share.rs
@@ -47,6 +47,36 @@
     assert_eq!(fill(&mut scheduler), [1]);
 }
 
+/// Guards against a plan for memory that the target then refuses: `free` counts what is reserved for short prompts.
+#[test]
+fn holdable() {
+    let mut scheduler = reserve(32);
+    let free = |scheduler: &Scheduler| scheduler.load(T0).holdable;
+    assert_eq!(free(&scheduler), 300_000);
+    offer(&mut scheduler, &[(1, 60_000, 900.0), (2, 7_000, 900.0)]);
+    fill(&mut scheduler);
+    let room = free(&scheduler);
+    assert_eq!(room, 300_000 - 60_010);
+    assert!(scheduler.load(T0).free > room);
+    assert!(!scheduler.clone().hold(90, room + 1, T0));
+    assert!(scheduler.hold(90, room, T0));
+    assert_eq!(free(&scheduler), 0);
+}
+
+/// Guards against short prompts on a target that prefills a gang's part: its pieces are of medium length.
+#[test]
+fn gang_counts_as_long() {
+    let mut scheduler = reserve(32);
+    assert!(scheduler.hold(90, 200_000, T0));
+    let piece = jujubehook::target::Item {
+        held: true,
+        ..drive::item(1, 32_000, 900.0)
+    };
+    assert_eq!(scheduler.offer(piece, T0), Ok(()));
+    offer(&mut scheduler, &[(2, 20_000, 900.0), (3, 2_000, 900.0)]);
+    assert_eq!(scheduler.load(T0).long, 1);
+}
+
 /// Guards against a long prefill that closes the prefill window to short prompts, and against two long ones at once.
 #[test]
 fn prefill() {
