route: Keep medium prompts off targets that gangs fill

Cause, from the event lines: a gang held all unreserved memory of the chosen engine until it ended, or the engine prefilled a long prompt. A medium prompt now avoids engines with a long prompt, and one without room for it counts as full, so that another engine or domain gets it. An instance also counts its own choices until the next report of a target, because all choices between two reports saw the same load.

What remains: a target without a report in the last 5 s counts as having room.

--- a/src/daemon/answer.rs
+++ b/src/daemon/answer.rs
@@ -236,6 +236,9 @@
         let attempt = unguessable();
         if let Some(index) = chosen {
             self.target = pool[index].target.clone();
+            let rate = self.state.settings.queue.prefill_rate.max(1);
+            let prefill = Duration::from_secs_f64(ask.prompt as f64 / rate as f64);
+            lock(&self.state.loads).add(&self.target, ask.prompt, prefill);
             let run = self.run(attempt, Vec::new());
             self.frames = Some(Frames::open(&self.state, run).await?);
             return Ok(None);
--- a/src/daemon/loads.rs
+++ b/src/daemon/loads.rs
@@ -1,7 +1,7 @@
 use std::time::Duration;
 
-use crate::id::TargetId;
-use crate::target::Load;
+use crate::id::{TargetId, Tokens};
+use crate::target::{Class, Load};
 
 /// Age at which a load report says nothing any more.
 const REPORT_LIFETIME: Duration = Duration::from_secs(5);
@@ -44,6 +44,21 @@
         Some(load)
     }
 
+    /// Adds a request that this instance sends to the target, until the next report: without it, all choices between
+    /// two reports would fall on the same target.
+    pub(crate) fn add(&mut self, target: &TargetId, prompt: Tokens, prefill: Duration) {
+        let Ok(index) = self.find(target) else {
+            return;
+        };
+        let load = &mut self.reports[index].load;
+        load.queued = load.queued.saturating_add(1);
+        load.holdable = load.holdable.saturating_sub(prompt);
+        match Class::of(prompt) {
+            Class::Long => load.long = load.long.saturating_add(1),
+            Class::Medium | Class::Short => load.backlog = load.backlog.saturating_add(prefill),
+        }
+    }
+
     fn find(&self, target: &TargetId) -> Result<usize, usize> {
         self.reports
             .binary_search_by(|report| report.target.cmp(target))
--- a/src/route/affinity.rs
+++ b/src/route/affinity.rs
@@ -9,7 +9,7 @@
 /// Prefix affinity by rendezvous hashing with bounded load, and packing of long prompts.
 #[derive(Clone, Debug)]
 pub struct Affinity {
-    /// Whether long prompts go to few targets, which short ones avoid.
+    /// Whether long prompts go to few targets, which other ones avoid.
     pub packing: bool,
     turn: u64,
 }
@@ -69,7 +69,7 @@
             return Affinity::pack(&pool, candidates);
         }
         let mut within = within_bound(&pool, candidates);
-        if self.packing && ask.class == Class::Short {
+        if self.packing {
             within = calm(within, candidates);
         }
         self.spread(ask, &within, candidates)
@@ -80,8 +80,9 @@
     }
 }
 
-/// Targets without a long prompt in prefill, or all if there are none. The bound comes first: otherwise short prompts
-/// would overload the few targets without long ones.
+/// Targets without a long prompt in prefill, or all if there are none. The bound comes first: otherwise other prompts
+/// would overload the few targets without long ones. Medium prompts need this as much as short ones: no part of a
+/// target is reserved for them.
 fn calm(within: Vec<usize>, candidates: &[Candidate]) -> Vec<usize> {
     let is_calm = |index: &usize| candidates[*index].long() == 0;
     if !within.iter().any(is_calm) {
--- a/src/route/candidate.rs
+++ b/src/route/candidate.rs
@@ -19,9 +19,16 @@
 }
 
 impl Candidate {
-    /// Whether the queue is known to be full.
-    pub(super) fn is_full(&self) -> bool {
-        self.load.as_ref().is_some_and(|load| load.full)
+    /// Whether the queue is known to be full, or the memory for a medium prompt. A gang may hold all unreserved memory of
+    /// a target for longer than a medium prompt can wait.
+    pub(super) fn is_full(&self, ask: &Ask) -> bool {
+        let need = match ask.class {
+            Class::Medium => ask.prompt.saturating_add(ask.max_tokens),
+            Class::Long | Class::Short => 0,
+        };
+        self.load
+            .as_ref()
+            .is_some_and(|load| load.full || load.holdable < need)
     }
 
     /// Long prompts that are not prefilled; 0 if unknown.
--- a/tests/bounded_load.rs
+++ b/tests/bounded_load.rs
@@ -62,7 +62,7 @@
     assert!(all[..8].iter_mut().all(|one| load(one).queued <= 125));
 }
 
-/// Guards against long prompts that spread, and against short ones behind them.
+/// Guards against long prompts that spread, and against short or medium ones behind them.
 #[test]
 fn long_prompts_are_packed() {
     let mut affinity = Affinity::default();
@@ -72,6 +72,8 @@
         load(&mut all[expected]).long += 1;
     }
     assert!(choices(&mut affinity, &all).iter().all(|index| *index > 1));
+    let mut medium = |prefix| affinity.choose(&ask(20_000, prefix), &all, NOW);
+    assert!((0..100).all(|prefix| medium(prefix) > Some(1)));
     assert_eq!(affinity.choose(&ask(100_000, 7), &all, NOW), Some(2));
 }
 
@@ -134,3 +136,32 @@
     assert_eq!(targets(true), [1]);
     assert_eq!(targets(false).len(), 8);
 }
+
+/// Guards against medium prompts that wait past their deadline for the memory that a gang holds.
+#[test]
+fn room_for_medium() {
+    let mut affinity = Affinity::default();
+    let mut all = candidates();
+    all[..7]
+        .iter_mut()
+        .for_each(|one| load(one).holdable = 9_000);
+    let mut choose = |all: &[Candidate], prompt| {
+        (0..100)
+            .filter_map(|prefix| affinity.choose(&ask(prompt, prefix), all, NOW))
+            .collect::<Vec<_>>()
+    };
+    assert!(choose(&all, 10_000).iter().all(|index| *index == 7));
+    assert!(choose(&all, 8_500).iter().any(|index| *index < 7));
+    load(&mut all[7]).holdable = 9_000;
+    assert!(
+        choose(&all, 10_000).iter().all(|index| *index >= 8),
+        "other domains"
+    );
+    all[8..]
+        .iter_mut()
+        .for_each(|one| load(one).holdable = 9_000);
+    assert!(
+        choose(&all, 10_000).iter().all(|index| *index < 8),
+        "none has room"
+    );
+}
