gang: Leave room for a medium prompt beside a hold

Cause: gangs hold all unreserved memory of their engines for 10 to 20 s, and at this load often of every engine of a domain, so that no other engine had room either. Gang holds now leave 32,000 tokens of the unreserved memory, or an eighth if that is less.

--- a/src/daemon/long.rs
+++ b/src/daemon/long.rs
@@ -86,7 +86,11 @@
     let prompt = tokens(text.len());
     loop {
         let candidates = pool()?;
-        let possible = plan(prompt, max_tokens, &offers(&candidates, capacity));
+        let possible = plan(
+            prompt,
+            max_tokens,
+            &offers(&candidates, |one| capacity(state, one)),
+        );
         if possible.is_none() {
             state.metrics.gang("refused");
             let message = "the prompt is larger than all engines of a domain together";
@@ -121,8 +125,8 @@
     candidates: &[Candidate],
 ) -> Option<Vec<Part>> {
     let free = |candidate: &Candidate| match &candidate.load {
-        Some(load) => load.holdable.min(capacity(candidate)),
-        None => capacity(candidate),
+        Some(load) => load.holdable.min(capacity(state, candidate)),
+        None => capacity(state, candidate),
     };
     let all = offers(candidates, free);
     let own: Vec<Offer> = all
@@ -145,9 +149,11 @@
         .collect()
 }
 
-fn capacity(candidate: &Candidate) -> Tokens {
+/// Memory that gangs may have of an empty target.
+fn capacity(state: &State, candidate: &Candidate) -> Tokens {
     let known = candidate.load.as_ref().map(|load| load.capacity);
-    known.map_or(candidate.memory, |known| known.min(candidate.memory))
+    let capacity = known.map_or(candidate.memory, |known| known.min(candidate.memory));
+    state.settings.queue.target().holdable(capacity)
 }
 
 /// Runs one gang up to its decode.
--- a/src/target/scheduler.rs
+++ b/src/target/scheduler.rs
@@ -388,8 +388,9 @@
             return 0;
         }
         let others = usage.memory - usage.short_memory - own;
-        let unreserved = capacity(self.memory, &self.settings).saturating_sub(others);
-        unreserved.min(self.memory.saturating_sub(usage.memory - own))
+        let capacity = capacity(self.memory, &self.settings);
+        let most = self.settings.holdable(capacity).saturating_sub(others);
+        most.min(self.memory.saturating_sub(usage.memory - own))
     }
 
     /// Order in the queue. All keys fall behind `now` at the same pace, so that they stay valid while queued.
--- a/src/target/settings.rs
+++ b/src/target/settings.rs
@@ -42,6 +42,9 @@
 }
 
 impl Settings {
+    /// At most one part in this many of the unreserved memory is kept from gang holds.
+    const MEDIUM_PART: Tokens = 8;
+
     /// Memory out of `memory` that a prompt of `class` may take on an empty target.
     pub fn capacity(&self, class: Class, memory: Tokens) -> Tokens {
         match class {
@@ -50,6 +53,15 @@
         }
     }
 
+    /// Part of the unreserved memory `capacity` that gang holds may take. They leave room for a medium prompt, which
+    /// otherwise would wait for the end of a prompt that needs several targets.
+    pub fn holdable(&self, capacity: Tokens) -> Tokens {
+        if !self.reserve {
+            return capacity;
+        }
+        capacity - Class::MEDIUM_MAX.min(capacity / Settings::MEDIUM_PART)
+    }
+
     /// Turns all four mechanisms off: first in, first out.
     pub fn fifo(self) -> Settings {
         Settings {
--- a/tests/reserve_share.rs
+++ b/tests/reserve_share.rs
@@ -52,17 +52,27 @@
 fn holdable() {
     let mut scheduler = reserve(32);
     let free = |scheduler: &Scheduler| scheduler.load(T0).holdable;
-    assert_eq!(free(&scheduler), 300_000);
+    assert_eq!(free(&scheduler), 268_000);
     offer(&mut scheduler, &[(1, 60_000, 900.0), (2, 7_000, 900.0)]);
     fill(&mut scheduler);
     let room = free(&scheduler);
-    assert_eq!(room, 300_000 - 60_010);
+    assert_eq!(room, 268_000 - 60_010);
     assert!(scheduler.load(T0).free > room);
     assert!(!scheduler.clone().hold(90, room + 1, T0));
     assert!(scheduler.hold(90, room, T0));
     assert_eq!(free(&scheduler), 0);
 }
 
+/// Guards against a gang that keeps medium prompts waiting until it ends.
+#[test]
+fn medium_beside_gang() {
+    let mut scheduler = reserve(32);
+    let room = scheduler.load(T0).holdable;
+    assert!(scheduler.hold(90, room, T0));
+    offer(&mut scheduler, &[(1, 31_000, 900.0)]);
+    assert_eq!(fill(&mut scheduler), [1]);
+}
+
 /// Guards against short prompts on a target that prefills a gang's part: its pieces are of medium length.
 #[test]
 fn gang_counts_as_long() {
