--- a/src/load/measure.rs
+++ b/src/load/measure.rs
@@ -21,8 +21,8 @@
 /// Largest accepted metrics in bytes.
 const METRICS_SIZE: usize = 4 << 20;
 
-/// Counter of control bytes.
-const CONTROL: &str = "jujubehook_control_sent_bytes_total ";
+/// Counter of control bytes, one line for each kind of other side.
+const CONTROL: &str = "jujubehook_control_sent_bytes_total{";
 
 /// Runs a load and counts what came of it.
 ///
@@ -125,8 +125,11 @@
         let answer = within(METRICS_LIMIT, call).await.ok();
         sent.push(answer.and_then(|(_, bytes)| {
             let text = String::from_utf8_lossy(&bytes).into_owned();
-            let line = text.lines().find_map(|line| line.strip_prefix(CONTROL))?;
-            line.trim().parse().ok()
+            let lines = text.lines().filter(|line| line.starts_with(CONTROL));
+            let values: Vec<f64> = lines
+                .map(|line| line.rsplit(' ').next()?.parse().ok())
+                .collect::<Option<_>>()?;
+            (!values.is_empty()).then(|| values.iter().sum())
         }));
     }
     sent
--- a/tests/fuzz_input.rs
+++ b/tests/fuzz_input.rs
@@ -82,6 +82,7 @@
         capacity: number(rng),
         free: number(rng),
         full: rng.bool(),
+        holdable: number(rng),
         long: rng.u32(..),
         queued: rng.u32(..),
         running: rng.u32(..),
