docs: Correct the append rate of claims

Cause: the capacity page found that the page's 240 appends/s leave out that each domain has a claimer for each stream. Result: text only.

--- a/src/daemon/once/partition.rs
+++ b/src/daemon/once/partition.rs
@@ -15,7 +15,8 @@
 use crate::metric::Channel;
 use crate::platform::{Error, Log, Settings as LogSettings};
 
-/// Time over which entries are collected for one append; 12 domains then make 240 appends/s.
+/// Time over which entries are collected for one append, so that a busy stream costs the log at most 20 appends/s from
+/// each domain.
 const COMMIT_INTERVAL: Duration = Duration::from_millis(50);
 
 /// Pause after a failed append or read.
