load: Try other ports when a daemon cannot bind

Of five fleets that started at the same time one failed with `Address already in use`: the fleet finds a free port and the daemon binds it a little later, so that another process can take it in between. It tries up to five ports now.

--- a/src/load/fleet.rs
+++ b/src/load/fleet.rs
@@ -21,6 +21,9 @@
 /// Time between two looks at a new fleet.
 const READY_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Ports to try for a daemon.
+const PORT_TRIES: u32 = 5;
+
 /// Largest accepted answer of a stand-in in bytes.
 const ANSWER_LIMIT: usize = 16 << 20;
 
@@ -265,24 +268,7 @@
 
     async fn start_daemon(&mut self, domain: &str) -> io::Result<()> {
         let instance = format!("entry-{domain}-{}", self.daemons.len());
-        let listen = free_port()?;
-        let daemon = Daemon::start(settings::Settings {
-            domain: domain.to_owned(),
-            instance: instance.clone(),
-            limits: settings::Limits::default(),
-            listen,
-            log: crate::event::Settings::default(),
-            network: settings::Network {
-                list: self.list.address(),
-                log: self.log.address(),
-                ..self.settings.network.clone()
-            },
-            peer_key: PEER_KEY.into(),
-            policy: self.settings.policy.clone(),
-            queue: self.settings.queue.clone(),
-        })
-        .await
-        .map_err(other)?;
+        let daemon = self.launch(domain, &instance).await?;
         let member = json!({
             "role": "entry", "address": daemon.address(), "domain": domain, "state": "live",
         });
@@ -291,6 +277,33 @@
         Ok(())
     }
 
+    /// Starts a daemon on a free port; another process may take the port before the daemon binds it.
+    async fn launch(&self, domain: &str, instance: &str) -> io::Result<Daemon> {
+        let mut failure = other("no port was tried");
+        for _ in 0..PORT_TRIES {
+            let settings = settings::Settings {
+                domain: domain.to_owned(),
+                instance: instance.to_owned(),
+                limits: settings::Limits::default(),
+                listen: free_port()?,
+                log: crate::event::Settings::default(),
+                network: settings::Network {
+                    list: self.list.address(),
+                    log: self.log.address(),
+                    ..self.settings.network.clone()
+                },
+                peer_key: PEER_KEY.into(),
+                policy: self.settings.policy.clone(),
+                queue: self.settings.queue.clone(),
+            };
+            match Daemon::start(settings).await {
+                Ok(daemon) => return Ok(daemon),
+                Err(error) => failure = other(error),
+            }
+        }
+        Err(failure)
+    }
+
     async fn register(&self, id: &str, member: &Value) -> io::Result<()> {
         let path = format!("/instances/{id}");
         self.send(Method::Put, self.list.address(), &path, member)
