target: Let gang holds take no slot

After a domain returned, 12 short prompts missed 10 s although p99 was 212 ms; with engines turned cold every 2 s, 13 to 15 did. Each hold of a gang counted as a request at the engine, so that two holds filled a cold limit of 2 until their gangs ended. A hold is memory; only the pieces of a part are streams, and they are counted while they run. `Load::running` leaves holds out as well.

The new test fails without the change.

--- a/src/target/load.rs
+++ b/src/target/load.rs
@@ -16,13 +16,13 @@
     pub free: Tokens,
     /// Whether the queue limit is reached.
     pub full: bool,
-    /// Memory that a new gang hold may have at most; less than `free` by what remains of the reserve, 0 without a slot.
+    /// Memory that a new gang hold may have at most; less than `free` by what remains of the reserve.
     pub holdable: Tokens,
     /// Long prompts whose prefill is not finished, waiting ones included.
     pub long: u32,
     /// Requests in the queue.
     pub queued: u32,
-    /// Requests at the engine, foreign streams and gang holds included.
+    /// Requests at the engine, foreign streams included.
     pub running: u32,
     /// State of the target.
     pub state: State,
--- a/src/target/scheduler.rs
+++ b/src/target/scheduler.rs
@@ -179,8 +179,8 @@
         self.foreign_streams = streams;
     }
 
-    /// Reserves memory and a slot for a part of a gang, outside the reserve of short prompts. A repeat with the same
-    /// request replaces the hold. Returns whether it is held.
+    /// Reserves memory for a part of a gang, outside the reserve of short prompts. A repeat with the same request
+    /// replaces the hold. Returns whether it is held. Only the pieces of the part take a slot, while they run.
     pub fn hold(&mut self, request: AttemptId, tokens: Tokens, _now: Duration) -> bool {
         let at = self.holds.binary_search_by_key(&request, |hold| hold.0);
         let own = at.map_or(0, |at| self.holds[at].1);
@@ -308,7 +308,7 @@
     pub(super) fn bounds(&self) -> Bounds<'_> {
         let held: Tokens = self.holds.iter().map(|hold| hold.1).sum();
         let fixed_memory = self.foreign_memory.saturating_add(held);
-        let fixed_slots = self.foreign_streams.saturating_add(self.holds.len() as u32);
+        let fixed_slots = self.foreign_streams;
         Bounds {
             fixed_memory,
             fixed_slots,
@@ -382,9 +382,7 @@
     fn holdable(&self, own: Tokens) -> Tokens {
         let bounds = self.bounds();
         let usage = &bounds.usage;
-        let slots = capacity(bounds.slots.into(), &self.settings) as u32;
-        let has_slot = usage.slots < bounds.slots && usage.slots - usage.short_slots < slots;
-        if self.leaving || (own == 0 && !has_slot) {
+        if self.leaving {
             return 0;
         }
         let others = usage.memory - usage.short_memory - own;
--- a/tests/cold_limit.rs
+++ b/tests/cold_limit.rs
@@ -64,3 +64,15 @@
     scheduler.configure(Some(3), None, false);
     assert_eq!(scheduler.state(), State::Cold);
 }
+
+/// Guards against gang holds that stop a cold target: a hold is memory, no stream, and lasts until its gang ends.
+#[test]
+fn holds_take_no_slot() {
+    let mut scheduler = Scheduler::new(Settings::default(), T0);
+    assert!((90..94).all(|part| scheduler.hold(part, 1_000, T0)));
+    offer(
+        &mut scheduler,
+        &[(1, 100, 900.0), (2, 100, 900.0), (3, 100, 900.0)],
+    );
+    assert_eq!(sent(&mut scheduler, T0), [1, 2]);
+}
