--- a/http/src/lib.rs
+++ b/http/src/lib.rs
@@ -5,17 +5,22 @@
 
 mod client;
 mod error;
+mod limits;
+mod meter;
 mod peer;
 mod pipe;
 mod reply;
 mod server;
+mod socket;
 mod sse;
+mod traffic;
 
 pub use client::Client;
 pub use client::Connection;
 pub use client::Reuse;
 pub use error::Error;
 pub use http_types;
+pub use limits::Limits;
 pub use peer::Peer;
 pub use pipe::pipe;
 pub use pipe::Writer;
@@ -25,3 +30,4 @@
 pub use reply::within;
 pub use server::Server;
 pub use sse::Events;
+pub use traffic::Traffic;
--- a/src/daemon/api/service.rs
+++ b/src/daemon/api/service.rs
@@ -47,7 +47,7 @@
         service = service,
         call = name,
         outcome = kind.map_or("ok", Kind::name),
-        reason = outcome.as_ref().err().map_or("", Error::message),
+        reason = outcome.as_ref().err().map_or("", Error::reason),
         elapsed_ms = state.clock.now().saturating_sub(start).as_millis() as u64
     );
     match outcome {
@@ -73,11 +73,11 @@
 ) -> Result<(Active, Call), Error> {
     let workspace = caller::workspace(state, request)?;
     let limit = caller::deadline(state, request)?;
-    let active = state.enter()?;
+    let mut active = state.enter()?;
     let key = request
         .header(KEY_HEADER)
         .map(|values| values.last().as_str().to_owned());
-    let body = caller::body(state, request).await?;
+    let body = caller::body(&mut active, request, state.settings.limits.body, limit).await?;
     let body = String::from_utf8(body)
         .map_err(|_| Error::new(Kind::BadRequest, "the body is not UTF-8"))?;
     let fold = state.fold();
--- a/src/settings/check.rs
+++ b/src/settings/check.rs
@@ -86,6 +86,11 @@
         "peer_key",
         format!("must have at least {PEER_KEY_BYTES} bytes"),
     )?;
+    checker.ensure(
+        is_header(&settings.peer_key),
+        "peer_key",
+        "must have only visible ASCII characters, and spaces within",
+    )?;
     checker.ensure(
         POLICIES.contains(&settings.policy.as_str()),
         "policy",
@@ -103,6 +108,12 @@
         "deadline_ms",
         "must not exceed `deadline_max_ms`",
     )?;
+    checker.range("memory_bytes", limits.memory as u64, 1024, 64 << 30)?;
+    checker.ensure(
+        limits.body <= limits.memory,
+        "memory_bytes",
+        "must be at least `body_bytes`",
+    )?;
     checker.range("requests", limits.requests as u64, 1, 100_000)?;
     checker.range("tokens", limits.tokens, 1, 1_000_000)
 }
@@ -156,6 +167,18 @@
     checker.range("prefill_rate", queue.prefill_rate, 1, 100_000_000)
 }
 
+/// Whether a key arrives unchanged as the value of an HTTP header.
+fn is_header(key: &str) -> bool {
+    key.trim() == key && key.bytes().all(|byte| (b' '..=b'~').contains(&byte))
+}
+
+/// Key that is set on the line of `offset`.
+pub(super) fn key_at(text: &str, offset: usize) -> Option<&str> {
+    let line = text.lines().nth(line_at(text, offset) - 1)?;
+    let (key, _) = line.split_once('=')?;
+    Some(key.trim()).filter(|key| !key.is_empty())
+}
+
 pub(super) fn line_at(text: &str, offset: usize) -> usize {
     let end = offset.min(text.len());
     text.as_bytes()[..end]
