Set the metrics that were listed but never set

Cause: queue wait, dispatches, tokens, heartbeat ages and finished gangs were registered and documented, but no code set them; status had no age of peers. Change: they are set where the events happen; status gives age_ms for each peer.

--- a/src/daemon/answer.rs
+++ b/src/daemon/answer.rs
@@ -157,7 +157,9 @@
                         .await?;
                     return Ok(None);
                 }
-                self.gang = None;
+                if self.gang.take().is_some() {
+                    self.state.metrics.gang("finished");
+                }
                 let count = self.sent;
                 Ok(Some(Step::End { cached, count }))
             }
--- a/src/daemon/api/answer.rs
+++ b/src/daemon/api/answer.rs
@@ -85,6 +85,13 @@
         );
     }
 
+    /// Counts a token; `last` is the time of the one before.
+    fn token(&self, last: &mut Option<Duration>) {
+        let now = self.state.clock.now();
+        let gap = last.replace(now).map(|last| now.saturating_sub(last));
+        self.state.metrics.token(gap);
+    }
+
     fn ended(&self, error: Option<&Error>) {
         let elapsed = self.state.clock.now().saturating_sub(self.start);
         let kind = error.map(Error::kind);
@@ -154,6 +161,7 @@
 
 async fn collect(call: &Call, mut answer: Answer) -> Result<Value, Error> {
     let mut text = String::new();
+    let mut last = None;
     loop {
         match answer.next().await? {
             Step::End { cached, count } => return Ok(call.body(&text, cached, count)),
@@ -161,6 +169,7 @@
                 if text.is_empty() {
                     call.first_token();
                 }
+                call.token(&mut last);
                 text.push_str(&token);
             }
         }
@@ -169,9 +178,13 @@
 
 async fn relay(call: &Call, mut answer: Answer, first: Step, writer: &Writer) -> Result<(), Error> {
     let mut step = first;
+    let mut last_token = None;
     loop {
         match step {
-            Step::Token { text } => send(writer, &call.chunk(Some(&text))).await?,
+            Step::Token { text } => {
+                call.token(&mut last_token);
+                send(writer, &call.chunk(Some(&text))).await?;
+            }
             Step::End { cached, count } => {
                 let mut last = call.chunk(None);
                 last["usage"] = json!({"completion_tokens": count, "cached_tokens": cached});
--- a/src/daemon/serve/run.rs
+++ b/src/daemon/serve/run.rs
@@ -14,7 +14,7 @@
 use crate::event::hex;
 use crate::id::{tokens, TOKEN_BYTES};
 use crate::platform::Completion;
-use crate::target::{Dispatch, Item};
+use crate::target::{Class, Dispatch, Item};
 use crate::wire::{Body, Run};
 
 /// Runs a completion on an owned target and sends its frames, the last one being `End` or `Fail`.
@@ -56,11 +56,19 @@
         let message = format!("`{}` takes no new work", run.target);
         return Err(Error::new(Kind::Moved, message));
     }
+    let offered = state.clock.now();
+    let class = Class::of(tokens(run.prompt.len())).name();
     let ticket = Ticket::new(state, slot, item(state, run))?;
     let mut handle = None;
     let mut started = false;
     loop {
         let dispatch = ticket.turn().await?;
+        let now = state.clock.now();
+        if !started {
+            let wait = now.saturating_sub(offered);
+            state.metrics.queue_wait(class, wait);
+        }
+        state.metrics.dispatch(slot.load(now).state.name());
         let address = state.address(&run.target)?;
         if !dispatch.last && handle.is_none() {
             handle = Some(Handle::new(state, address, run.attempt));
--- a/src/daemon/status.rs
+++ b/src/daemon/status.rs
@@ -22,6 +22,7 @@
 
 #[derive(Debug, Serialize)]
 struct Peer {
+    age_ms: u64,
     instance: InstanceId,
 }
 
@@ -40,7 +41,7 @@
 pub(super) fn status(state: &State) -> Status {
     let now = state.clock.now();
     let fold = state.fold();
-    let peers = lock(&state.owner).live(now);
+    let peers = lock(&state.owner).ages(now);
     Status {
         alarms: state.alarm().into_iter().collect(),
         controller: state.is_controller(),
@@ -52,7 +53,10 @@
         offset: fold.offset(),
         peers: peers
             .into_iter()
-            .map(|instance| Peer { instance })
+            .map(|(instance, age)| Peer {
+                age_ms: age.as_millis() as u64,
+                instance,
+            })
             .collect(),
         ready: state.is_ready(),
         requests: state.active(),
--- a/src/daemon/task/beat.rs
+++ b/src/daemon/task/beat.rs
@@ -44,6 +44,11 @@
                 traffic.add_sent(datagram.len());
             }
         }
+        let now = state.clock.now();
+        let ages = lock(&state.owner).ages(now);
+        state
+            .metrics
+            .heartbeat_ages(ages.into_iter().map(|(_, age)| age));
         Timer::after(state.settings.network.heartbeat).await;
     }
 }
--- a/src/owner/table.rs
+++ b/src/owner/table.rs
@@ -140,6 +140,16 @@
         actions
     }
 
+    /// The peers heard within the lease, sorted, with the age of their last heartbeat.
+    pub fn ages(&self, now: Duration) -> Vec<(InstanceId, Duration)> {
+        self.live_peers(now)
+            .map(|peer| {
+                let heard = peer.heard.unwrap_or(now);
+                (peer.id.clone(), now.saturating_sub(heard))
+            })
+            .collect()
+    }
+
     /// The peers heard within the lease, sorted.
     pub fn live(&self, now: Duration) -> Vec<InstanceId> {
         self.live_peers(now).map(|peer| peer.id.clone()).collect()
