--- a/model/src/ownership/trouble.rs
+++ b/model/src/ownership/fault.rs
@@ -1,6 +1,6 @@
 /// Fault of the messages from one instance to another in one unit.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Trouble {
+pub enum Fault {
     /// Heartbeats arrive now and a second time later.
     BeatDoubled,
     /// Heartbeats arrive later or never.
@@ -21,19 +21,19 @@
     RequestLost,
 }
 
-impl Trouble {
+impl Fault {
     /// All faults.
     pub const ALL: &'static [Self] = &[
-        Trouble::BeatDoubled,
-        Trouble::BeatLate,
-        Trouble::BeatLost,
-        Trouble::GrantDoubled,
-        Trouble::GrantLate,
-        Trouble::GrantLost,
-        Trouble::RequestDoubled,
-        Trouble::RequestLate,
-        Trouble::RequestLost,
+        Fault::BeatDoubled,
+        Fault::BeatLate,
+        Fault::BeatLost,
+        Fault::GrantDoubled,
+        Fault::GrantLate,
+        Fault::GrantLost,
+        Fault::RequestDoubled,
+        Fault::RequestLate,
+        Fault::RequestLost,
     ];
     /// A stale grant that meets a later attempt.
-    pub const STALE: &'static [Self] = &[Trouble::GrantLate, Trouble::RequestLost];
+    pub const STALE: &'static [Self] = &[Fault::GrantLate, Fault::RequestLost];
 }
--- a/model/src/ownership/mod.rs
+++ b/model/src/ownership/mod.rs
@@ -5,9 +5,9 @@
 //! `budget` faults within `horizon` units are searched. Start of a stopped instance, end of a pause, healing of a cut
 //! and arrival of a late message are possible at any time and cost nothing.
 
+mod fault;
 mod node;
 mod specs;
-mod trouble;
 mod world;
 
 use std::time::Duration;
@@ -18,7 +18,7 @@
 use node::{Node, Status};
 use world::{Message, World};
 
-pub use trouble::Trouble;
+pub use fault::Fault;
 
 /// Most states that a search may reach.
 const BOUND: usize = 2_000_000;
@@ -45,7 +45,7 @@
     /// An instance starts its shutdown.
     pub leave: bool,
     /// Faults of single messages.
-    pub messages: &'static [Trouble],
+    pub messages: &'static [Fault],
     /// An instance does not run for a while.
     pub pause: bool,
 }
@@ -101,7 +101,7 @@
             crash: true,
             cut: Some(Cuts::OneWay),
             leave: true,
-            messages: Trouble::ALL,
+            messages: Fault::ALL,
             pause: true,
         }
     }
@@ -261,12 +261,12 @@
             return;
         }
         for (from, to) in self.directions() {
-            for trouble in self.faults.messages {
-                let mut world = World::new(self, state, target, Some((*trouble, from, to)));
+            for fault in self.faults.messages {
+                let mut world = World::new(self, state, target, Some((*fault, from, to)));
                 world.state.budget -= 1;
                 world.pass();
                 if world.used && world.state.pool.len() <= POOL {
-                    let label = format!("time, {trouble:?} {}{}", IDS[from], IDS[to]);
+                    let label = format!("time, {fault:?} {}{}", IDS[from], IDS[to]);
                     steps.push((label, world.state));
                 }
             }
--- a/model/src/ownership/specs.rs
+++ b/model/src/ownership/specs.rs
@@ -1,6 +1,6 @@
 use jujubehook::owner::Guards;
 
-use super::{Cuts, Faults, Ownership, Trouble};
+use super::{Cuts, Fault, Faults, Ownership};
 use crate::Case;
 
 const ON: Guards = Guards {
@@ -195,7 +195,7 @@
         age: 3,
         budget: 3,
         faults: Faults {
-            messages: Trouble::STALE,
+            messages: Fault::STALE,
             pause: true,
             ..Faults::NONE
         },
--- a/model/src/ownership/world.rs
+++ b/model/src/ownership/world.rs
@@ -3,7 +3,7 @@
 use jujubehook::owner::{Acquire, Action, Beat, Grant, Table};
 
 use super::node::time;
-use super::{Node, Ownership, State, Status, Trouble, IDS};
+use super::{Fault, Node, Ownership, State, Status, IDS};
 
 /// A message that is under way, with the index of its receiver.
 #[derive(Clone, Debug, Eq, Hash, PartialEq)]
@@ -18,7 +18,7 @@
     spec: &'a Ownership,
     pub(super) state: State,
     target: &'a str,
-    trouble: Option<(Trouble, usize, usize)>,
+    fault: Option<(Fault, usize, usize)>,
     /// Whether the fault has hit a message.
     pub(super) used: bool,
 }
@@ -38,13 +38,13 @@
         spec: &'a Ownership,
         state: &State,
         target: &'a str,
-        trouble: Option<(Trouble, usize, usize)>,
+        fault: Option<(Fault, usize, usize)>,
     ) -> Self {
         Self {
             spec,
             state: state.clone(),
             target,
-            trouble,
+            fault,
             used: false,
         }
     }
@@ -172,10 +172,10 @@
         if !self.reach(from, to) {
             return;
         }
-        match self.trouble(from, to) {
-            Some(Trouble::BeatLost) => self.used = true,
-            Some(Trouble::BeatLate) => self.pool(Message::Beat(to, beat)),
-            Some(Trouble::BeatDoubled) => {
+        match self.fault(from, to) {
+            Some(Fault::BeatLost) => self.used = true,
+            Some(Fault::BeatLate) => self.pool(Message::Beat(to, beat)),
+            Some(Fault::BeatDoubled) => {
                 self.pool(Message::Beat(to, beat.clone()));
                 self.hear(to, &beat);
             }
@@ -222,10 +222,10 @@
         if !self.reach(from, to) {
             return;
         }
-        match self.trouble(from, to) {
-            Some(Trouble::RequestLost) => self.used = true,
-            Some(Trouble::RequestLate) => self.pool(Message::Acquire(to, message)),
-            Some(Trouble::RequestDoubled) => {
+        match self.fault(from, to) {
+            Some(Fault::RequestLost) => self.used = true,
+            Some(Fault::RequestLate) => self.pool(Message::Acquire(to, message)),
+            Some(Fault::RequestDoubled) => {
                 self.pool(Message::Acquire(to, message.clone()));
                 self.request(to, &message);
             }
@@ -272,10 +272,10 @@
         if !self.reach(to, back) {
             return;
         }
-        match self.trouble(to, back) {
-            Some(Trouble::GrantLost) => self.used = true,
-            Some(Trouble::GrantLate) => self.pool(Message::Grant(back, grant)),
-            Some(Trouble::GrantDoubled) => {
+        match self.fault(to, back) {
+            Some(Fault::GrantLost) => self.used = true,
+            Some(Fault::GrantLate) => self.pool(Message::Grant(back, grant)),
+            Some(Fault::GrantDoubled) => {
                 self.pool(Message::Grant(back, grant.clone()));
                 self.answer(back, &grant);
             }
@@ -289,8 +289,8 @@
         all - self.state.nodes[index].own
     }
 
-    fn trouble(&self, from: usize, to: usize) -> Option<Trouble> {
-        let (trouble, at, other) = self.trouble?;
-        (at == from && other == to).then_some(trouble)
+    fn fault(&self, from: usize, to: usize) -> Option<Fault> {
+        let (fault, at, other) = self.fault?;
+        (at == from && other == to).then_some(fault)
     }
 }
--- a/src/command/load.rs
+++ b/src/command/load.rs
@@ -33,7 +33,8 @@
                      take a domain out of service at a third of the run, for
                      this time; 20 s of 60 s return it at two thirds
   --cold             start with cold engines, and do not warm them up
-  --chill SECONDS    turn one engine after the other cold, at this interval
+  --turn-cold SECONDS
+                     turn one engine after the other cold, at this interval
   --entry IP:PORT,.. load these instances, on loopback, instead of a fleet
   --log FILE         append the event lines of the fleet to FILE
   --json             print one JSON object
@@ -125,7 +126,7 @@
     let plan = &mut options.plan;
     let queue = &mut plan.fleet.queue;
     match name {
-        "chill" => plan.chill = Some(time(name, parser)?),
+        "turn-cold" => plan.turn_cold = Some(time(name, parser)?),
         "cold" => {
             plan.fleet.engine.cold = true;
             plan.warm_up = 0.0;
@@ -167,8 +168,8 @@
             "`--rate` must be above 0 and make at most {ARRIVAL_LIMIT} arrivals, not `{rate}`"
         )));
     }
-    if !plan.entries.is_empty() && (plan.domain_out.is_some() || plan.chill.is_some()) {
-        let message = "`--domain-out` and `--chill` need the embedded fleet, not `--entry`";
+    if !plan.entries.is_empty() && (plan.domain_out.is_some() || plan.turn_cold.is_some()) {
+        let message = "`--domain-out` and `--turn-cold` need the embedded fleet, not `--entry`";
         return Err(Error::Usage(message.into()));
     }
     Ok(())
@@ -244,7 +245,7 @@
     text += &format!(
         "served {:.2} % of the admitted requests
 sales: {} committed, {} lost, {} doubled, {} unknown, {} false refusals
-cold engines: {} falls, at most {} streams
+cold engines: {} crashes, at most {} streams
 prompt tokens offered: {:.0} per second
 control bytes/s of an instance: {:.0} mean, {:.0} at most
 this process: {:.1} cores, {:.0} MB at most
@@ -255,7 +256,7 @@
         sales.doubled,
         sales.unknown,
         sales.false_refusals,
-        targets.falls,
+        targets.crashes,
         targets.peak_cold,
         report.offered_tokens,
         report.control.mean,
--- a/src/daemon/serve/connect.rs
+++ b/src/daemon/serve/connect.rs
@@ -40,5 +40,5 @@
     lock(&state.outlier).record(target, false, now);
     state
         .slot(target)
-        .update(state, |scheduler, now| scheduler.chill(now));
+        .update(state, |scheduler, now| scheduler.mark_cold(now));
 }
--- a/src/daemon/task/beat.rs
+++ b/src/daemon/task/beat.rs
@@ -143,7 +143,7 @@
     );
     let slot = state.slot(target);
     slot.update(state, |scheduler, now| {
-        scheduler.chill(now);
+        scheduler.mark_cold(now);
         scheduler.foreign(in_flight, 0, now);
     });
     // The reading of the target's streams opens the queue; until then a cold target gets nothing.
--- a/src/daemon/task/pump.rs
+++ b/src/daemon/task/pump.rs
@@ -67,7 +67,7 @@
         );
         if returned {
             // Its caches are empty and its load is unknown, so it ramps up like a cold target.
-            scheduler.chill(now);
+            scheduler.mark_cold(now);
         }
     });
     if !serving {
--- a/src/load/measure.rs
+++ b/src/load/measure.rs
@@ -49,12 +49,12 @@
     let arrivals = profile.arrivals();
     let offered_tokens = tokens(&arrivals) / profile.seconds;
     let (watch, start, sent) = (Watch::start(), Instant::now(), control(&entries).await);
-    let (changes, chills) = (change_domain(plan, fleet), chill(plan, fleet));
+    let (changes, turns) = (change_domain(plan, fleet), turn_cold(plan, fleet));
     let played = async { Ok(run.play(arrivals).await) };
     // The changes end with the load; a failed one ends the measurement.
     let outcomes = future::or(played, async {
-        let (changed, chilled) = future::zip(changes, chills).await;
-        changed.and(chilled)?;
+        let (changed, turned) = future::zip(changes, turns).await;
+        changed.and(turned)?;
         future::pending::<io::Result<_>>().await
     })
     .await?;
@@ -100,8 +100,8 @@
 }
 
 /// Turns one engine after the other cold.
-async fn chill(plan: &Plan, fleet: Option<&Fleet>) -> io::Result<()> {
-    let (Some(fleet), Some(interval)) = (fleet, plan.chill) else {
+async fn turn_cold(plan: &Plan, fleet: Option<&Fleet>) -> io::Result<()> {
+    let (Some(fleet), Some(interval)) = (fleet, plan.turn_cold) else {
         return Ok(());
     };
     for (_, _, address) in fleet.engines().iter().cycle() {
@@ -168,7 +168,7 @@
     let mut targets = Targets::default();
     for (_, _, address) in fleet.engines() {
         let stats = fleet.stats(address).await?;
-        targets.falls += stats["falls"].as_u64().unwrap_or(0);
+        targets.crashes += stats["crashes"].as_u64().unwrap_or(0);
         targets.peak_cold = targets
             .peak_cold
             .max(stats["peak_cold"].as_u64().unwrap_or(0));
--- a/src/load/plan.rs
+++ b/src/load/plan.rs
@@ -7,7 +7,7 @@
 #[derive(Clone, Debug)]
 pub struct Plan {
     /// Time between two engines that are turned cold, one after the other.
-    pub chill: Option<Duration>,
+    pub turn_cold: Option<Duration>,
     /// Time for which one domain is out of service, from a third of the load on.
     pub domain_out: Option<Duration>,
     /// Instances to load; an embedded fleet is started if there are none.
@@ -23,7 +23,7 @@
 impl Default for Plan {
     fn default() -> Self {
         Self {
-            chill: None,
+            turn_cold: None,
             domain_out: None,
             entries: Vec::new(),
             fleet: Settings {
--- a/src/load/report.rs
+++ b/src/load/report.rs
@@ -116,7 +116,7 @@
 #[derive(Clone, Copy, Debug, Default, Serialize)]
 pub struct Targets {
     /// Crashes under load while cold.
-    pub falls: u64,
+    pub crashes: u64,
     /// Most streams open at once on a cold engine.
     pub peak_cold: u64,
 }
@@ -132,7 +132,7 @@
         let wrong: usize = self.classes.iter().map(|row| row.wrong).sum();
         let counts = [
             ("wrong answers", wrong as u64),
-            ("falls of cold engines", self.targets.falls),
+            ("crashes of cold engines", self.targets.crashes),
             ("doubled sales", self.sales.doubled as u64),
             ("lost sales", self.sales.lost as u64),
             ("false refusals", self.sales.false_refusals as u64),
--- a/src/retry/outlier.rs
+++ b/src/retry/outlier.rs
@@ -31,11 +31,11 @@
 pub struct Outlier {
     settings: Settings,
     /// Sorted by target; a success removes the entry.
-    targets: Vec<Trouble>,
+    targets: Vec<Failing>,
 }
 
 #[derive(Clone, Debug)]
-struct Trouble {
+struct Failing {
     ejections: u32,
     failures: u32,
     since: Duration,
@@ -61,7 +61,7 @@
             (Err(_), true) => {}
             (Ok(at), false) => self.fail(at, now),
             (Err(at), false) => {
-                self.targets.insert(at, Trouble::new(target));
+                self.targets.insert(at, Failing::new(target));
                 self.fail(at, now);
             }
         }
@@ -73,16 +73,16 @@
     pub fn ejected(&self, target: &TargetId, pool: usize, now: Duration) -> bool {
         let mut ejected = self.in_force(now);
         ejected.truncate(self.allowed(pool));
-        ejected.iter().any(|trouble| trouble.target == *target)
+        ejected.iter().any(|failing| failing.target == *target)
     }
 
     /// The targets of `pool` that are ejected, those ejected first first; never more than the settings' share.
     pub fn ejected_among(&self, pool: &[TargetId], now: Duration) -> Vec<TargetId> {
         self.in_force(now)
             .into_iter()
-            .filter(|trouble| pool.contains(&trouble.target))
+            .filter(|failing| pool.contains(&failing.target))
             .take(self.allowed(pool.len()))
-            .map(|trouble| trouble.target.clone())
+            .map(|failing| failing.target.clone())
             .collect()
     }
 
@@ -94,27 +94,27 @@
     /// After an ejection a single failure ejects again: the first attempt is a probe.
     fn fail(&mut self, at: usize, now: Duration) {
         let settings = &self.settings;
-        let trouble = &mut self.targets[at];
-        if trouble.until > now {
+        let failing = &mut self.targets[at];
+        if failing.until > now {
             return;
         }
-        trouble.failures = trouble.failures.saturating_add(1);
-        if trouble.failures < settings.failures && trouble.ejections == 0 {
+        failing.failures = failing.failures.saturating_add(1);
+        if failing.failures < settings.failures && failing.ejections == 0 {
             return;
         }
-        let factor = 1u32 << trouble.ejections.min(16);
-        trouble.ejections = trouble.ejections.saturating_add(1);
-        trouble.failures = 0;
-        trouble.since = now;
-        trouble.until = now + settings.base.saturating_mul(factor).min(settings.longest);
+        let factor = 1u32 << failing.ejections.min(16);
+        failing.ejections = failing.ejections.saturating_add(1);
+        failing.failures = 0;
+        failing.since = now;
+        failing.until = now + settings.base.saturating_mul(factor).min(settings.longest);
     }
 
     /// Ejections that are not over, in the order of their start.
-    fn in_force(&self, now: Duration) -> Vec<&Trouble> {
-        let mut ejected: Vec<&Trouble> = self
+    fn in_force(&self, now: Duration) -> Vec<&Failing> {
+        let mut ejected: Vec<&Failing> = self
             .targets
             .iter()
-            .filter(|trouble| trouble.until > now)
+            .filter(|failing| failing.until > now)
             .collect();
         ejected.sort_by(|a, b| (a.since, &a.target).cmp(&(b.since, &b.target)));
         ejected
@@ -122,13 +122,13 @@
 
     fn find(&self, target: &TargetId) -> Result<usize, usize> {
         self.targets
-            .binary_search_by(|trouble| trouble.target.cmp(target))
+            .binary_search_by(|failing| failing.target.cmp(target))
     }
 }
 
-impl Trouble {
-    fn new(target: &TargetId) -> Trouble {
-        Trouble {
+impl Failing {
+    fn new(target: &TargetId) -> Failing {
+        Failing {
             ejections: 0,
             failures: 0,
             since: Duration::ZERO,
--- a/src/route/affinity.rs
+++ b/src/route/affinity.rs
@@ -70,7 +70,7 @@
         }
         let mut within = within_bound(&pool, candidates);
         if self.packing {
-            within = calm(within, candidates);
+            within = without_long(within, candidates);
         }
         self.spread(ask, &within, candidates)
     }
@@ -83,12 +83,12 @@
 /// Targets without a long prompt in prefill, or all if there are none. The bound comes first: otherwise other prompts
 /// would overload the few targets without long ones. Medium prompts need this as much as short ones: no part of a
 /// target is reserved for them.
-fn calm(within: Vec<usize>, candidates: &[Candidate]) -> Vec<usize> {
-    let is_calm = |index: &usize| candidates[*index].long() == 0;
-    if !within.iter().any(is_calm) {
+fn without_long(within: Vec<usize>, candidates: &[Candidate]) -> Vec<usize> {
+    let has_no_long = |index: &usize| candidates[*index].long() == 0;
+    if !within.iter().any(has_no_long) {
         return within;
     }
-    within.into_iter().filter(is_calm).collect()
+    within.into_iter().filter(has_no_long).collect()
 }
 
 /// Targets whose count of requests, with this one, and whose predicted wait are at most 1.25 × the mean. The count
--- a/src/target/fit.rs
+++ b/src/target/fit.rs
@@ -8,7 +8,7 @@
 pub(super) enum Fit {
     /// Another long prompt is in prefill.
     Busy,
-    /// A limit is reached; it falls as requests at the engine end.
+    /// A limit is reached; it crashes as requests at the engine end.
     Full,
     /// What this scheduler runs does not stand in the way, so that waiting for it does not help.
     Never,
--- a/src/target/ramp.rs
+++ b/src/target/ramp.rs
@@ -30,7 +30,7 @@
     }
 
     /// Back to the cold limit; work of earlier epochs does not count any more.
-    pub(super) fn chill(&mut self) {
+    pub(super) fn mark_cold(&mut self) {
         self.completed = 0;
         self.epoch += 1;
         self.limit = self.cold;
@@ -41,7 +41,7 @@
     /// Takes the target's own word whether it is cold. It stays at the cold limit as long as it says so.
     pub(super) fn report(&mut self, cold: bool) {
         if cold && self.state != State::Cold {
-            self.chill();
+            self.mark_cold();
         }
         self.reported = Some(cold);
     }
--- a/src/target/scheduler.rs
+++ b/src/target/scheduler.rs
@@ -73,7 +73,7 @@
         }
         self.boots += 1;
         self.prefix.clear();
-        self.chill(now);
+        self.mark_cold(now);
         let entries = std::mem::take(&mut self.waiting);
         for entry in entries {
             self.requeue(entry);
@@ -98,8 +98,8 @@
     }
 
     /// Makes the target cold at once.
-    pub fn chill(&mut self, _now: Duration) {
-        self.ramp.chill();
+    pub fn mark_cold(&mut self, _now: Duration) {
+        self.ramp.mark_cold();
     }
 
     /// A prefill piece other than the last is done; the rest is queued again.
@@ -126,7 +126,7 @@
         self.ramp.set_cold(cold);
         self.memory = memory.unwrap_or(self.settings.memory);
         if self.leaving && !leaving {
-            self.ramp.chill();
+            self.ramp.mark_cold();
         }
         self.leaving = leaving;
     }
--- a/standin/src/engine/core.rs
+++ b/standin/src/engine/core.rs
@@ -79,7 +79,7 @@
         let fault = Fault::read(ask, &SWITCHES)?;
         let mut state = self.lock();
         match fault.cold {
-            Some(true) => state.warmth.chill(),
+            Some(true) => state.warmth.mark_cold(),
             Some(false) => state.warmth.cold = false,
             None => {}
         }
@@ -210,8 +210,8 @@
                 "cancelled": state.cancelled,
                 "cold": state.warmth.cold,
                 "completed": state.completed,
-                "fall_list": state.warmth.falls,
-                "falls": state.warmth.falls.len(),
+                "crash_list": state.warmth.crashes,
+                "crashes": state.warmth.crashes.len(),
                 "memory": state.memory(),
                 "orders": state.orders.accepted,
                 "orders_rejected": state.orders.rejected,
--- a/standin/src/service.rs
+++ b/standin/src/service.rs
@@ -220,7 +220,7 @@
         let fault = Fault::read(ask, &["cold"])?;
         let mut state = self.lock();
         match fault.cold {
-            Some(true) => state.warmth.chill(),
+            Some(true) => state.warmth.mark_cold(),
             Some(false) => state.warmth.cold = false,
             None => {}
         }
@@ -244,8 +244,8 @@
                 "boot": state.warmth.boot,
                 "calls": state.calls,
                 "cold": state.warmth.cold,
-                "fall_list": state.warmth.falls,
-                "falls": state.warmth.falls.len(),
+                "crash_list": state.warmth.crashes,
+                "crashes": state.warmth.crashes.len(),
                 "peak_cold": state.warmth.peak_cold,
                 "requests": state.requests,
                 "running": state.running,
--- a/standin/src/warmth.rs
+++ b/standin/src/warmth.rs
@@ -6,11 +6,11 @@
 use crate::clock::unix_ms;
 
 /// Crashes kept in the statistics.
-const FALL_LIMIT: usize = 1_000;
+const CRASH_LIMIT: usize = 1_000;
 
 /// A crash under load while cold.
 #[derive(Clone, Copy, Debug, Serialize)]
-pub(crate) struct Fall {
+pub(crate) struct Crash {
     pub(crate) at_ms: u64,
     pub(crate) cold_since_ms: u64,
     pub(crate) running: usize,
@@ -24,7 +24,7 @@
     cold_limit: usize,
     cold_since_ms: u64,
     completed: u64,
-    pub(crate) falls: Vec<Fall>,
+    pub(crate) crashes: Vec<Crash>,
     pub(crate) peak_cold: usize,
     warm_after: u64,
 }
@@ -38,7 +38,7 @@
             cold_limit,
             cold_since_ms: unix_ms(),
             completed: 0,
-            falls: Vec::new(),
+            crashes: Vec::new(),
             peak_cold: 0,
             warm_after,
         }
@@ -47,11 +47,11 @@
     /// A new boot, cold again.
     pub(crate) fn boot(&mut self) {
         self.boot += 1;
-        self.chill();
+        self.mark_cold();
     }
 
     /// Turns cold without a new boot number.
-    pub(crate) fn chill(&mut self) {
+    pub(crate) fn mark_cold(&mut self) {
         self.cold = true;
         self.cold_since_ms = unix_ms();
         self.completed = 0;
@@ -81,8 +81,8 @@
             return false;
         }
         tracing::warn!(boot = self.boot, running, "crash under load while cold");
-        if self.falls.len() < FALL_LIMIT {
-            self.falls.push(Fall {
+        if self.crashes.len() < CRASH_LIMIT {
+            self.crashes.push(Crash {
                 at_ms: unix_ms(),
                 cold_since_ms: self.cold_since_ms,
                 running,
--- a/standin/tests/cold_engine.rs
+++ b/standin/tests/cold_engine.rs
@@ -30,7 +30,7 @@
         assert!(first.end().await.finish.is_none());
         assert!(second.end().await.finish.is_none());
         let stats = common::back(address).await;
-        assert_eq!((&stats["boot"], &stats["falls"]), (&json!(2), &json!(1)));
+        assert_eq!((&stats["boot"], &stats["crashes"]), (&json!(2), &json!(1)));
         assert_eq!(
             (&stats["cold"], &stats["peak_cold"]),
             (&json!(true), &json!(3))
@@ -58,7 +58,7 @@
         }
         let stats = until(address, "warm", |stats| stats["cold"] == false).await;
         assert_eq!(
-            (&stats["falls"], &stats["peak_cold"]),
+            (&stats["crashes"], &stats["peak_cold"]),
             (&json!(0), &json!(1))
         );
     });
@@ -66,7 +66,7 @@
 
 /// Guards against a `cold` switch that changes the boot number or ends running streams.
 #[test]
-fn chill() {
+fn mark_cold() {
     smol::block_on(async {
         let engine = engine(Settings {
             cold: false,
@@ -79,12 +79,12 @@
             streams.push(open(address, &ask(attempt, "prompt", 100)).await);
         }
         fault(address, json!({ "cold": true })).await;
-        let chilled = stats(address).await;
+        let marked_cold = stats(address).await;
         assert_eq!(
-            (&chilled["boot"], &chilled["running"]),
+            (&marked_cold["boot"], &marked_cold["running"]),
             (&json!(1), &json!(3))
         );
         assert!(try_open(address, &ask(9, "prompt", 1)).await.is_err());
-        assert_eq!(common::back(address).await["falls"], 1);
+        assert_eq!(common::back(address).await["crashes"], 1);
     });
 }
--- a/standin/tests/service_calls.rs
+++ b/standin/tests/service_calls.rs
@@ -97,7 +97,7 @@
         assert!(first.await.is_err());
         let stats = back(address).await;
         assert_eq!(
-            (&stats["falls"], &stats["peak_cold"]),
+            (&stats["crashes"], &stats["peak_cold"]),
             (&json!(1), &json!(2))
         );
         assert_eq!(
--- a/tests/domain_out.rs
+++ b/tests/domain_out.rs
@@ -58,7 +58,7 @@
         wait_served(&running, back).await;
         load.finish().await;
         running.wait_settled().await;
-        check_falls(&running).await;
+        check_crashes(&running).await;
     });
 }
 
@@ -104,9 +104,9 @@
     }
 }
 
-async fn check_falls(running: &Running) {
+async fn check_crashes(running: &Running) {
     for engine in &running.engines {
         let stats = running.stats(engine.address).await;
-        assert_eq!(stats["falls"], 0, "`{}` crashed under load", engine.id);
+        assert_eq!(stats["crashes"], 0, "`{}` crashed under load", engine.id);
     }
 }
--- a/tests/engine_orders.rs
+++ b/tests/engine_orders.rs
@@ -12,7 +12,7 @@
 /// Two terms, each a lease, half a lease of spread, and the wait before engines that ignore fencing get orders.
 const LIMIT: Duration = Duration::from_secs(20);
 
-async fn wish(fleet: &Fleet, version: &str) {
+async fn publish_version(fleet: &Fleet, version: &str) {
     for (id, _, _) in fleet.engines() {
         let checks = id.ends_with('0');
         let load = json!({"model": "resin", "version": version});
@@ -58,12 +58,12 @@
         })
         .await
         .unwrap();
-        wish(&fleet, "2").await;
+        publish_version(&fleet, "2").await;
         let first = fences(&fleet, "2").await;
         assert!(first.concat().iter().all(|fence| *fence > 0));
         let holder = fleet.controller().unwrap();
         fleet.kill(holder);
-        wish(&fleet, "3").await;
+        publish_version(&fleet, "3").await;
         let second = fences(&fleet, "3").await;
         for fences in &second {
             assert!(fences.is_sorted(), "{fences:?}");
--- a/tests/kill_engine.rs
+++ b/tests/kill_engine.rs
@@ -79,7 +79,7 @@
             asked.check_whole(&stream.await);
         }
         let after = running.stats(address).await;
-        assert_eq!(after["falls"], before["falls"], "crashed under load");
+        assert_eq!(after["crashes"], before["crashes"], "crashed under load");
         assert_eq!(
             after["peak_cold"], before["peak_cold"],
             "got more while cold"
@@ -150,7 +150,7 @@
 async fn check_limits(running: &Running) {
     for engine in &running.engines {
         let stats = running.stats(engine.address).await;
-        assert_eq!(stats["falls"], 0, "`{}` crashed under load", engine.id);
+        assert_eq!(stats["crashes"], 0, "`{}` crashed under load", engine.id);
         let peak = stats["peak_cold"].as_u64();
         assert!(
             peak <= Some(COLD_LIMIT),
--- a/tests/kill_owner.rs
+++ b/tests/kill_owner.rs
@@ -46,7 +46,7 @@
         running.wait_released(FEW_SECONDS).await;
         for engine in &running.engines {
             let stats = running.stats(engine.address).await;
-            assert_eq!(stats["falls"], 0, "`{}` crashed under load", engine.id);
+            assert_eq!(stats["crashes"], 0, "`{}` crashed under load", engine.id);
         }
     });
 }
--- a/tests/pause_owner.rs
+++ b/tests/pause_owner.rs
@@ -68,7 +68,7 @@
         running.wait_released(FEW_SECONDS).await;
         for engine in &running.engines {
             let stats = running.stats(engine.address).await;
-            assert_eq!(stats["falls"], 0, "`{}` crashed under load", engine.id);
+            assert_eq!(stats["crashes"], 0, "`{}` crashed under load", engine.id);
             let peak = stats["peak_cold"].as_u64();
             assert!(
                 peak <= Some(COLD_LIMIT),
--- a/tests/random_events.rs
+++ b/tests/random_events.rs
@@ -90,7 +90,7 @@
         assert!(!one_long || placed().filter(long).count() <= 1);
     }
 
-    fn chill(&mut self) {
+    fn mark_cold(&mut self) {
         self.cold += 1;
         self.completed = 0;
     }
@@ -100,7 +100,7 @@
         let leaving = self.rng.u8(..4) == 0;
         self.scheduler.configure(Some(cold), Some(memory), leaving);
         if self.leaving && !leaving {
-            self.chill();
+            self.mark_cold();
         }
         self.leaving = leaving;
         self.settings.memory = memory;
@@ -175,7 +175,7 @@
     fn reboot(&mut self) {
         self.boot += 1;
         self.scheduler.boot(self.boot, self.now);
-        self.chill();
+        self.mark_cold();
         for seen in self.requests.values_mut() {
             seen.placed &= seen.flying.is_some();
         }
@@ -187,8 +187,8 @@
         match (self.rng.u8(..60), flying) {
             (0, _) => self.reboot(),
             (1, _) => {
-                self.scheduler.chill(self.now);
-                self.chill();
+                self.scheduler.mark_cold(self.now);
+                self.mark_cold();
             }
             (2, _) => self.configure(),
             (3, _) => {
--- a/tests/two_faults.rs
+++ b/tests/two_faults.rs
@@ -65,7 +65,7 @@
         running.wait_released(FEW_SECONDS).await;
         for engine in &running.engines {
             let stats = running.stats(engine.address).await;
-            assert_eq!(stats["falls"], 0, "`{}` crashed under load", engine.id);
+            assert_eq!(stats["crashes"], 0, "`{}` crashed under load", engine.id);
         }
     });
 }
