remote: Rename the module of platform clients

Cause: the adapter for the users' platform gets the folder `platform/`, and only one place may be called so. Ruled out: keeping both names; a reader would look for the adapter in `src/platform`.

--- a/examples/capacity/drive.rs
+++ b/examples/capacity/drive.rs
@@ -4,8 +4,8 @@
 use std::time::{Duration, Instant, SystemTime};
 
 use jujubehook::load::Caller;
-use jujubehook::platform::Log;
 use jujubehook::record::{self, Kind};
+use jujubehook::remote::Log;
 use serde_json::{json, Value};
 use sha2::{Digest, Sha256};
 use smol::Timer;
--- a/examples/capacity/main.rs
+++ b/examples/capacity/main.rs
@@ -14,8 +14,8 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use jujubehook::platform::{Log, Settings as LogSettings};
 use jujubehook::record::{self, Fold, Kind, Verdict};
+use jujubehook::remote::{Log, Settings as LogSettings};
 use jujubehook_http::{Client, Server};
 use serde_json::json;
 use smol::Timer;
--- a/src/command/connection.rs
+++ b/src/command/connection.rs
@@ -6,7 +6,7 @@
 use serde::Deserialize;
 
 use super::{folder, Error};
-use crate::platform::{List, Log, Settings};
+use crate::remote::{List, Log, Settings};
 
 /// Help on the connection options.
 macro_rules! connection_help {
--- a/src/command/force.rs
+++ b/src/command/force.rs
@@ -2,8 +2,8 @@
 
 use super::Error;
 use crate::id::Offset;
-use crate::platform::{self, Log};
 use crate::record::{Fold, Verdict};
+use crate::remote::{self, Log};
 
 /// Stream of the records.
 const STREAM: &str = "config";
@@ -36,7 +36,7 @@
     }
 
     /// Appends an entry.
-    pub(super) async fn append(&self, entry: &str) -> Result<Offset, platform::Error> {
+    pub(super) async fn append(&self, entry: &str) -> Result<Offset, remote::Error> {
         self.log.append(STREAM, entry).await
     }
 
@@ -102,6 +102,6 @@
     }
 }
 
-fn unread(error: platform::Error) -> Error {
+fn unread(error: remote::Error) -> Error {
     Error::Failed(format!("cannot read the log: {error}"))
 }
--- a/src/command/probe.rs
+++ b/src/command/probe.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 use serde_json::{Map, Value};
 
-use crate::platform::{Listing, Member, Role, State};
+use crate::remote::{Listing, Member, Role, State};
 
 /// Largest status answer in bytes.
 const LIMIT: usize = 4 << 20;
--- a/src/command/spread.rs
+++ b/src/command/spread.rs
@@ -5,7 +5,7 @@
 
 use super::{probe, Error};
 use crate::id::Offset;
-use crate::platform::{self, List, Listing, Member};
+use crate::remote::{self, List, Listing, Member};
 
 /// Time between two rounds of questions.
 const PAUSE: Duration = Duration::from_millis(200);
@@ -75,7 +75,7 @@
 }
 
 /// Nothing is known of any instance, so the records may not be in force anywhere.
-fn unlisted(failure: Option<platform::Error>) -> Error {
+fn unlisted(failure: Option<remote::Error>) -> Error {
     Error::Late(match failure {
         Some(failure) => format!("cannot read the instance list: {failure}"),
         None => "the instance list has no live instance".into(),
--- a/src/command/status/mod.rs
+++ b/src/command/status/mod.rs
@@ -6,7 +6,7 @@
 use super::options::{none, Options};
 use super::probe::{self, Status};
 use super::{output, Error};
-use crate::platform::Member;
+use crate::remote::Member;
 
 /// Text of `jujubehook status --help`.
 pub(super) const HELP: &str = concat!(
--- a/src/daemon/candidates.rs
+++ b/src/daemon/candidates.rs
@@ -4,8 +4,8 @@
 use super::state::{lock, takes_work, State};
 use crate::error::{Error, Kind};
 use crate::id::{TargetId, Tokens};
-use crate::platform::{Member, Role};
 use crate::record::Fold;
+use crate::remote::{Member, Role};
 use crate::route::Candidate;
 use crate::target::{Class, Load};
 
--- a/src/daemon/client.rs
+++ b/src/daemon/client.rs
@@ -8,7 +8,7 @@
 use super::state::{lock, State};
 use crate::error::{Error, Kind};
 use crate::metric::Channel;
-use crate::platform::Member;
+use crate::remote::Member;
 use crate::wire::{self, Answer};
 
 /// Longest wait for a peer to accept a connection.
--- a/src/daemon/frames.rs
+++ b/src/daemon/frames.rs
@@ -10,7 +10,7 @@
 use crate::error::{Error, Kind};
 use crate::event;
 use crate::event::hex;
-use crate::platform::Member;
+use crate::remote::Member;
 use crate::wire::{self, Body, Check, Frame, Run};
 
 /// Frames that may wait between the queue and the caller.
--- a/src/daemon/once/partition.rs
+++ b/src/daemon/once/partition.rs
@@ -13,7 +13,7 @@
 use crate::event;
 use crate::id::{Incarnation, InstanceId};
 use crate::metric::Channel;
-use crate::platform::{Error, Log, Settings as LogSettings};
+use crate::remote::{Error, Log, Settings as LogSettings};
 
 /// Time over which entries are collected for one append, so that a busy stream costs the log at most 20 appends/s from
 /// each domain.
--- a/src/daemon/serve/call.rs
+++ b/src/daemon/serve/call.rs
@@ -14,7 +14,7 @@
 use crate::event;
 use crate::event::hex;
 use crate::id::{tokens, TargetId};
-use crate::platform;
+use crate::remote;
 use crate::target::Item;
 use crate::wire::{Call, Reply};
 
@@ -88,7 +88,7 @@
     request.set_content_type(mime::JSON);
     let work = async {
         let mut response = connection.send(request).await?;
-        slot.set_warmth(state, platform::boot(&response), platform::cold(&response));
+        slot.set_warmth(state, remote::boot(&response), remote::cold(&response));
         let bytes = read(response.take_body(), state.settings.limits.body).await?;
         let body = String::from_utf8(bytes)
             .map_err(|error| jujubehook_http::Error::Exchange(error.to_string()))?;
--- a/src/daemon/serve/engine.rs
+++ b/src/daemon/serve/engine.rs
@@ -9,7 +9,7 @@
 use crate::daemon::state::State;
 use crate::error::{Error, Kind};
 use crate::id::{AttemptId, TargetId};
-use crate::platform::{self, Completion, Engine};
+use crate::remote::{self, Completion, Engine};
 use crate::wire::{Body, Run};
 
 /// Times that one stream is resumed after a lost connection.
@@ -30,7 +30,7 @@
     target: &TargetId,
     address: SocketAddr,
     completion: &Completion,
-) -> Result<platform::Stream, Error> {
+) -> Result<remote::Stream, Error> {
     let connection = connect(state, target, address).await?;
     ticket.sent(address);
     let engine = Engine::new(&state.client, address);
@@ -65,7 +65,7 @@
 pub(super) async fn prefill(
     target: &str,
     attempt: AttemptId,
-    mut stream: platform::Stream,
+    mut stream: remote::Stream,
 ) -> Result<End, Error> {
     loop {
         match event(&mut stream, attempt).await {
@@ -83,7 +83,7 @@
     address: SocketAddr,
     run: &Run,
     ticket: &Ticket,
-    mut stream: platform::Stream,
+    mut stream: remote::Stream,
     output: &mut Output,
 ) -> Result<End, Error> {
     let mut next = 0;
@@ -115,7 +115,7 @@
     state: &Arc<State>,
     run: &Run,
     ticket: &Ticket,
-    stream: &mut platform::Stream,
+    stream: &mut remote::Stream,
     next: &mut u64,
     output: &mut Output,
 ) -> Result<End, Error> {
@@ -163,7 +163,7 @@
     address: SocketAddr,
     run: &Run,
     next: u64,
-) -> Option<platform::Stream> {
+) -> Option<remote::Stream> {
     let engine = Engine::new(&state.client, address);
     let stream = engine.resume(run.attempt, next).await.ok()?;
     (stream.status == 200).then_some(stream)
@@ -171,15 +171,15 @@
 
 /// The next event of the attempt; events of other attempts are dropped.
 async fn event(
-    stream: &mut platform::Stream,
+    stream: &mut remote::Stream,
     attempt: AttemptId,
-) -> Result<Option<platform::Event>, HttpError> {
+) -> Result<Option<remote::Event>, HttpError> {
     let name = format!("{attempt:016x}");
     while let Some(data) = stream.events.next().await? {
         if data == FINISHED {
             return Ok(None);
         }
-        let event: platform::Event = serde_json::from_str(&data)?;
+        let event: remote::Event = serde_json::from_str(&data)?;
         if event.attempt == name {
             return Ok(Some(event));
         }
@@ -194,7 +194,7 @@
     )
 }
 
-fn end(event: &platform::Event) -> End {
+fn end(event: &remote::Event) -> End {
     End {
         cached: event.cached,
         count: event.count.unwrap_or_default(),
--- a/src/daemon/serve/handle.rs
+++ b/src/daemon/serve/handle.rs
@@ -3,7 +3,7 @@
 
 use crate::daemon::state::State;
 use crate::id::AttemptId;
-use crate::platform::Engine;
+use crate::remote::Engine;
 
 /// KV memory kept on an engine; dropping the guard drops the memory.
 pub(super) struct Handle {
--- a/src/daemon/serve/run.rs
+++ b/src/daemon/serve/run.rs
@@ -13,7 +13,7 @@
 use crate::event;
 use crate::event::hex;
 use crate::id::{tokens, TOKEN_BYTES};
-use crate::platform::Completion;
+use crate::remote::Completion;
 use crate::target::{Class, Dispatch, Item};
 use crate::wire::{Body, Run};
 
--- a/src/daemon/serve/segment.rs
+++ b/src/daemon/serve/segment.rs
@@ -12,7 +12,7 @@
 use crate::event;
 use crate::event::hex;
 use crate::id::tokens;
-use crate::platform::{Completion, Engine};
+use crate::remote::{Completion, Engine};
 use crate::target::Item;
 use crate::wire::Segment;
 
--- a/src/daemon/serve/ticket.rs
+++ b/src/daemon/serve/ticket.rs
@@ -7,7 +7,7 @@
 use crate::daemon::state::{lock, State};
 use crate::error::{Error, Kind};
 use crate::id::AttemptId;
-use crate::platform::Engine;
+use crate::remote::Engine;
 use crate::target::{Dispatch, Item};
 
 /// Times that a cancellation is sent to an engine that does not confirm it.
--- a/src/daemon/state.rs
+++ b/src/daemon/state.rs
@@ -14,8 +14,8 @@
 use crate::id::{Incarnation, InstanceId, TargetId};
 use crate::metric::{Channel, Registry};
 use crate::owner;
-use crate::platform::{self, Listing, Log, Member, Role};
 use crate::record::Fold;
+use crate::remote::{self, Listing, Log, Member, Role};
 use crate::retry::{Budget, Outlier};
 use crate::route::{self, Policy};
 use crate::settings::Settings;
@@ -112,7 +112,7 @@
             leaving: AtomicBool::new(false),
             listing: RwLock::default(),
             loads: Mutex::default(),
-            log: Log::new(network.log, platform::Settings::default())
+            log: Log::new(network.log, remote::Settings::default())
                 .metered(metrics.traffic(Channel::Log).clone()),
             metrics,
             outlier: Mutex::default(),
@@ -345,7 +345,7 @@
         let pool: Vec<InstanceId> = self
             .entries(domain)
             .into_iter()
-            .filter(|member| member.state == platform::State::Live)
+            .filter(|member| member.state == remote::State::Live)
             .map(|member| member.id)
             .collect();
         let ejected = lock(&self.outlier).ejected_among(&pool, self.clock.now());
@@ -364,7 +364,7 @@
 
 /// Whether a record and the member's state let a listed target take new work.
 pub(crate) fn takes_work(fold: &Fold, member: &Member) -> bool {
-    member.state == platform::State::Live
+    member.state == remote::State::Live
         && fold.domain_in_service(&member.domain)
         && !fold.target(&member.id).is_some_and(|record| record.leaving)
 }
--- a/src/daemon/task/control.rs
+++ b/src/daemon/task/control.rs
@@ -9,8 +9,8 @@
 use crate::id::{Fence, TargetId};
 use crate::metric::Channel;
 use crate::order::{Action, Controller, Lease, Load, Plan, Settings};
-use crate::platform::{Engine, Log, Member, Role, Settings as LogSettings};
 use crate::record::Body;
+use crate::remote::{Engine, Log, Member, Role, Settings as LogSettings};
 
 /// Time between two ticks of the controller.
 const TICK: Duration = Duration::from_millis(100);
--- a/src/daemon/task/follow.rs
+++ b/src/daemon/task/follow.rs
@@ -8,8 +8,8 @@
 use crate::error::Error;
 use crate::event;
 use crate::id::Offset;
-use crate::platform::Member;
 use crate::record::{Fold, Verdict};
+use crate::remote::Member;
 
 /// Stream with the operators' records.
 pub(crate) const CONFIG: &str = "config";
--- a/src/daemon/task/list.rs
+++ b/src/daemon/task/list.rs
@@ -6,7 +6,7 @@
 use crate::daemon::state::{lock, State};
 use crate::event;
 use crate::metric::Channel;
-use crate::platform::{List, Settings};
+use crate::remote::{List, Settings};
 
 /// Reads the instance list; the last list stays in use while it is down.
 pub(crate) async fn run(state: Arc<State>) {
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -15,8 +15,9 @@
 pub mod metric;
 pub mod order;
 pub mod owner;
-pub mod platform;
+
 pub mod record;
+pub mod remote;
 pub mod retry;
 pub mod route;
 pub mod settings;
--- a/src/load/fleet.rs
+++ b/src/load/fleet.rs
@@ -11,8 +11,8 @@
 
 use crate::daemon::Daemon;
 use crate::id::{DomainId, InstanceId, ModelId, TargetId};
-use crate::platform;
 use crate::record;
+use crate::remote;
 use crate::settings;
 
 /// Longest time until a new fleet serves.
@@ -126,7 +126,7 @@
     /// # Errors
     /// Fails if the log does not take the entry.
     pub async fn publish(&self, kind: record::Kind, name: &str, body: Value) -> io::Result<u64> {
-        let log = platform::Log::new(self.log.address(), platform::Settings::default());
+        let log = remote::Log::new(self.log.address(), remote::Settings::default());
         let page = log
             .read("config", 1, 100_000, Duration::ZERO)
             .await
--- a/tests/cache_events.rs
+++ b/tests/cache_events.rs
@@ -4,7 +4,7 @@
 use std::net::Ipv4Addr;
 use std::time::{Duration, Instant};
 
-use jujubehook::platform::{cached, Change, Completion, Effect, Engine};
+use jujubehook::remote::{cached, Change, Completion, Effect, Engine};
 use jujubehook::route::prefix;
 use jujubehook_http::{Client, Connection};
 use jujubehook_standin::engine::Settings;
--- a/tests/cluster/running.rs
+++ b/tests/cluster/running.rs
@@ -6,8 +6,8 @@
 use std::time::Duration;
 
 use jujubehook::load::{Answer, Caller};
-use jujubehook::platform;
 use jujubehook::record::{self, Kind};
+use jujubehook::remote;
 use jujubehook_http::http_types::Method;
 use jujubehook_http::{within, Client, Reuse};
 use jujubehook_standin::{list, text, Engine, List, Log, Service};
@@ -185,7 +185,7 @@
 
     /// Publishes a record with the revision that is in force as its base, and returns its offset.
     pub async fn publish(&self, kind: Kind, name: &str, body: Value) -> u64 {
-        let log = platform::Log::new(self.log.address(), platform::Settings::default());
+        let log = remote::Log::new(self.log.address(), remote::Settings::default());
         let page = log
             .read("config", 1, 100_000, Duration::ZERO)
             .await
--- a/tests/config_spread.rs
+++ b/tests/config_spread.rs
@@ -66,8 +66,8 @@
 fn operators_race() {
     cluster::run(async {
         let running = Cluster::new().domains(2).engines(1).start().await;
-        let platform = jujubehook::platform::Settings::default();
-        let log = jujubehook::platform::Log::new(running.log(), platform);
+        let platform = jujubehook::remote::Settings::default();
+        let log = jujubehook::remote::Log::new(running.log(), platform);
         let mut last = 0;
         for service in [false, true] {
             let body = json!({"service": {"in": service}});
@@ -93,8 +93,8 @@
             .log(settings)
             .start()
             .await;
-        let platform = jujubehook::platform::Settings::default();
-        let log = jujubehook::platform::Log::new(running.log(), platform);
+        let platform = jujubehook::remote::Settings::default();
+        let log = jujubehook::remote::Log::new(running.log(), platform);
         let mut last = 0;
         for index in 0..RECORDS {
             let name = format!("retired-{index}");
--- a/tests/log_client.rs
+++ b/tests/log_client.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use jujubehook::error::Executed;
-use jujubehook::platform::{List, Log, Role, Settings, State};
+use jujubehook::remote::{List, Log, Role, Settings, State};
 use jujubehook_http::http_types::{Request, Response};
 use jujubehook_http::{text, Peer, Server};
 use smol::Timer;
--- a/tests/plan_apply.rs
+++ b/tests/plan_apply.rs
@@ -7,8 +7,8 @@
 use std::time::Duration;
 
 use assert_cmd::Command;
-use jujubehook::platform;
 use jujubehook::record::Fold;
+use jujubehook::remote;
 use jujubehook_http::http_types::{Method, Request, Response};
 use jujubehook_http::{json, text, Client, Peer, Reuse, Server};
 use jujubehook_standin::{list, log, List, Log};
@@ -62,13 +62,13 @@
 
     /// Number of entries in stream `config`.
     fn appended(&self) -> usize {
-        let client = platform::Log::new(self.log.address(), platform::Settings::default());
+        let client = remote::Log::new(self.log.address(), remote::Settings::default());
         let page = smol::block_on(client.read("config", 1, 1000, Duration::ZERO));
         page.unwrap().entries.len()
     }
 
     fn append(&self, stream: &str, entry: &str) {
-        let client = platform::Log::new(self.log.address(), platform::Settings::default());
+        let client = remote::Log::new(self.log.address(), remote::Settings::default());
         smol::block_on(client.append(stream, entry)).unwrap();
     }
 
