reap: Check a gained target until it is read or lost

Cause: `check` opened a gained target's queue only after a reading, but returned for good when a reading failed while echoes were late, or when the target was not listed for a moment. Ruled out: a longer pause between tries; the loop had ended. Change: the check goes on while this instance owns the target, and a gain closes the queue first, so that a late reading of an earlier ownership cannot leave it open.

--- a/src/daemon/task/beat.rs
+++ b/src/daemon/task/beat.rs
@@ -142,6 +142,7 @@
         in_flight = in_flight
     );
     let slot = state.slot(target);
+    slot.set_checked(false);
     slot.update(state, |scheduler, now| {
         scheduler.mark_cold(now);
         scheduler.foreign(in_flight, 0, now);
--- a/src/daemon/task/reap.rs
+++ b/src/daemon/task/reap.rs
@@ -9,7 +9,7 @@
 use crate::event;
 use crate::event::hex;
 use crate::id::{AttemptId, TargetId};
-use crate::platform::{cached, Engine, Role, Streams};
+use crate::remote::{cached, Engine, Role, Streams};
 
 /// Longest wait for a peer's answer about handles.
 const CLAIMS_TIMEOUT: Duration = Duration::from_secs(1);
@@ -29,28 +29,34 @@
 }
 
 /// Reads the streams of a target that was just gained, then opens its queue.
+///
+/// Goes on until the target is read or has another owner. A target that is not listed for a moment, or a reading that
+/// fails while peers' echoes are late, is no reason to stop: nothing else would open the queue, and its requests would
+/// wait until their deadlines.
 pub(crate) async fn check(state: &Arc<State>, target: &TargetId) {
-    loop {
-        let slot = state.slot(target);
+    while is_owner(state, target) {
         let read = match state.listing().member(target).map(|member| member.role) {
             Some(Role::Engine) => read(state, target).await.is_some(),
             Some(Role::Service) => true,
-            Some(Role::Entry) | None => return,
+            Some(Role::Entry) | None => false,
         };
-        if read {
+        // The target may have been lost while it was read.
+        if read && is_owner(state, target) {
+            let slot = state.slot(target);
             slot.set_checked(true);
             slot.pump(state);
             learn(state, target).await;
             return;
         }
-        let now = state.clock.now();
-        if !lock(&state.owner).may_dispatch(target, now) {
-            return;
-        }
         Timer::after(CHECK_PAUSE).await;
     }
 }
 
+fn is_owner(state: &State, target: &TargetId) -> bool {
+    let owner = lock(&state.owner).owner(target, state.clock.now());
+    owner.as_deref() == Some(state.source.instance())
+}
+
 async fn read(state: &Arc<State>, target: &TargetId) -> Option<()> {
     let address = state.address(target).ok()?;
     let engine = Engine::new(&state.client, address);
