entry: Serve on the users' platform without owners of targets

Ruled out: one owner per target by lease (a second hop and lease gaps of seconds against objectives of 150 to 300 ms); async-h1 at the platform's border (it rewrites paths). Change: `src/entry` holds the serving core: records followed from a log or from other instances, beats with each instance's work, placement on engines in two sets, budgets, cold shares, health, streams that go on elsewhere. Lines of logs are written by a thread and bounded.

--- /dev/null
+++ b/src/entry/budgets.rs
@@ -0,0 +1,79 @@
+use std::collections::VecDeque;
+use std::time::Duration;
+
+/// Share of the budget that is used; the rest covers requests that end on the border of two windows.
+const USED: f64 = 0.8;
+
+/// Sends beyond the first of each request, limited in every sliding window.
+///
+/// All instances together may send `ratio` times the requests of a window, and `slack` more. Each one counts its own
+/// requests and takes an equal part of the slack, so that the sum holds without a word between them.
+#[derive(Clone, Debug)]
+pub struct Budgets {
+    ratio: f64,
+    services: Vec<(String, Counts)>,
+    slack: f64,
+    window: Duration,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Counts {
+    requests: VecDeque<Duration>,
+    repeats: VecDeque<Duration>,
+}
+
+impl Budgets {
+    /// Budgets with these bounds for all instances together.
+    pub fn new(ratio: f64, slack: f64, window: Duration) -> Budgets {
+        Budgets {
+            ratio,
+            services: Vec::new(),
+            slack,
+            window,
+        }
+    }
+
+    /// Counts a request of a caller for a service.
+    pub fn request(&mut self, service: &str, now: Duration) {
+        let window = self.window;
+        let counts = self.counts(service);
+        counts.trim(now, window);
+        counts.requests.push_back(now);
+    }
+
+    /// Takes one further send; false if the budget is used up. `instances` share the slack.
+    pub fn spend(&mut self, service: &str, instances: usize, now: Duration) -> bool {
+        let (window, ratio) = (self.window, self.ratio);
+        let slack = self.slack * USED / instances.max(1) as f64;
+        let counts = self.counts(service);
+        counts.trim(now, window);
+        let allowed = ratio * USED * counts.requests.len() as f64 + slack;
+        if counts.repeats.len() as f64 + 1.0 > allowed {
+            return false;
+        }
+        counts.repeats.push_back(now);
+        true
+    }
+
+    fn counts(&mut self, service: &str) -> &mut Counts {
+        let found = self
+            .services
+            .binary_search_by(|(name, _)| name.as_str().cmp(service));
+        let at = found.unwrap_or_else(|at| {
+            self.services
+                .insert(at, (service.to_owned(), Counts::default()));
+            at
+        });
+        &mut self.services[at].1
+    }
+}
+
+impl Counts {
+    fn trim(&mut self, now: Duration, window: Duration) {
+        for times in [&mut self.requests, &mut self.repeats] {
+            while times.front().is_some_and(|at| *at + window <= now) {
+                times.pop_front();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/entry/directory.rs
@@ -0,0 +1,146 @@
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use super::{key, TargetKey};
+use crate::id::{DomainId, TargetId};
+
+/// Time for which a target whose entry vanished may still be used if its service has no other target. Entries that
+/// lapsed while the log was away are back within two seconds of its return; one that is still missing then is gone.
+/// The figure stays below those two seconds by the time that a record takes to arrive.
+const LAPSE: Duration = Duration::from_millis(1_200);
+
+/// A target as its own entry describes it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Target {
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Start of the process in Unix milliseconds, if it says so.
+    pub born: Option<u64>,
+    /// Local time until which it is cold.
+    pub cold_until: Duration,
+    /// Failure domain.
+    pub domain: DomainId,
+    /// Whether it takes no new work.
+    pub draining: bool,
+    /// Id; a process that starts anew mostly gets a new one.
+    pub id: TargetId,
+    /// Service that it serves.
+    pub service: String,
+    /// Requests that it runs at once.
+    pub slots: u32,
+}
+
+impl Target {
+    /// Short form of the id.
+    pub fn key(&self) -> TargetKey {
+        key(&self.id)
+    }
+}
+
+/// The targets whose entries are known, sorted by id.
+#[derive(Clone, Debug, Default)]
+pub struct Directory {
+    evacuated: Vec<DomainId>,
+    targets: Vec<Entry>,
+}
+
+#[derive(Clone, Debug)]
+struct Entry {
+    lapsed: Option<Duration>,
+    target: Rc<Target>,
+}
+
+impl Directory {
+    /// Takes the newest entry of a target, or its removal.
+    pub fn apply(&mut self, id: &str, target: Option<Target>, now: Duration) {
+        let found = self
+            .targets
+            .binary_search_by(|entry| entry.target.id.as_str().cmp(id));
+        match (found, target) {
+            (Ok(at), Some(target)) => {
+                self.targets[at] = Entry::new(target);
+            }
+            (Err(at), Some(target)) => self.targets.insert(at, Entry::new(target)),
+            (Ok(at), None) => {
+                // A draining target was on its way out: it cannot have lapsed by silence.
+                if self.targets[at].target.draining {
+                    self.targets.remove(at);
+                } else {
+                    self.targets[at].lapsed.get_or_insert(now);
+                }
+            }
+            (Err(_), None) => {}
+        }
+    }
+
+    /// Takes whether a domain is evacuated.
+    pub fn evacuate(&mut self, domain: &str, evacuated: bool) {
+        match (
+            self.evacuated
+                .binary_search_by(|name| name.as_str().cmp(domain)),
+            evacuated,
+        ) {
+            (Ok(at), false) => {
+                self.evacuated.remove(at);
+            }
+            (Err(at), true) => self.evacuated.insert(at, domain.to_owned()),
+            (Ok(_), true) | (Err(_), false) => {}
+        }
+    }
+
+    /// Forgets targets that lapsed and are not back.
+    pub fn expire(&mut self, now: Duration) {
+        self.targets
+            .retain(|entry| entry.lapsed.is_none_or(|since| now < since + LAPSE));
+    }
+
+    /// The target with this id, also when it drains or has lapsed.
+    pub fn target(&self, id: &str) -> Option<&Rc<Target>> {
+        let found = self
+            .targets
+            .binary_search_by(|entry| entry.target.id.as_str().cmp(id));
+        Some(&self.targets.get(found.ok()?)?.target)
+    }
+
+    /// All targets that are known.
+    pub fn targets(&self) -> impl Iterator<Item = &Rc<Target>> {
+        self.targets.iter().map(|entry| &entry.target)
+    }
+
+    /// The targets of a service that may get work: ready ones outside evacuated domains. Lapsed ones are offered only
+    /// where there is no other.
+    pub fn usable(&self, service: &str, now: Duration) -> Vec<Rc<Target>> {
+        let usable = |entry: &&Entry| {
+            let target = &entry.target;
+            target.service == service
+                && !target.draining
+                && self.evacuated.binary_search(&target.domain).is_err()
+        };
+        let pick = |lapsed: bool| -> Vec<Rc<Target>> {
+            self.targets
+                .iter()
+                .filter(usable)
+                .filter(|entry| match entry.lapsed {
+                    None => !lapsed,
+                    Some(since) => lapsed && now < since + LAPSE,
+                })
+                .map(|entry| entry.target.clone())
+                .collect()
+        };
+        let present = pick(false);
+        if present.is_empty() {
+            return pick(true);
+        }
+        present
+    }
+}
+
+impl Entry {
+    fn new(target: Target) -> Entry {
+        Entry {
+            lapsed: None,
+            target: Rc::new(target),
+        }
+    }
+}
--- /dev/null
+++ b/src/entry/fold.rs
@@ -0,0 +1,126 @@
+use serde::{Deserialize, Serialize};
+
+use crate::id::Offset;
+
+/// Most removals that are remembered. They only keep an older value from coming back, and those come seconds later.
+const REMOVALS: usize = 1_024;
+
+/// The newest value of one key; none after its removal.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Record {
+    /// What the record is about.
+    pub key: String,
+    /// Position in the log.
+    pub offset: Offset,
+    /// The value; none for a removal.
+    pub value: Option<Vec<u8>>,
+}
+
+/// The newest records of a topic, whatever way they arrive: a key never goes back to an older value.
+#[derive(Clone, Debug, Default)]
+pub struct Fold {
+    end: Offset,
+    /// Sorted by key.
+    records: Vec<Record>,
+    known: bool,
+}
+
+impl Fold {
+    /// Takes a record; returns it if it is newer than what was known of its key.
+    pub fn apply(&mut self, record: Record) -> Option<&Record> {
+        self.end = self.end.max(record.offset + 1);
+        let found = self
+            .records
+            .binary_search_by(|known| known.key.cmp(&record.key));
+        let at = match found {
+            Ok(at) if self.records[at].offset >= record.offset => return None,
+            Ok(at) => {
+                self.records[at] = record;
+                at
+            }
+            Err(at) => {
+                self.records.insert(at, record);
+                at
+            }
+        };
+        Some(&self.records[at])
+    }
+
+    /// Position after the last record that was taken.
+    pub fn end(&self) -> Offset {
+        self.end
+    }
+
+    /// Whether the state at some position is known completely.
+    pub fn is_known(&self) -> bool {
+        self.known
+    }
+
+    /// Notes that all records before `end` were seen.
+    pub fn reach(&mut self, end: Offset) {
+        self.known = true;
+        self.end = self.end.max(end);
+        self.forget_removals();
+    }
+
+    /// Takes a whole state that was read at `end`: keys that it lacks are removed. A state that is older than what is
+    /// known removes nothing, since the keys may have come later. Returns the records that changed.
+    pub fn replace(&mut self, state: Vec<Record>, end: Offset) -> Vec<Record> {
+        let mut changed = Vec::new();
+        if end >= self.end {
+            let gone: Vec<String> = self
+                .records
+                .iter()
+                .filter(|known| known.value.is_some())
+                .filter(|known| !state.iter().any(|record| record.key == known.key))
+                .map(|known| known.key.clone())
+                .collect();
+            for key in gone {
+                let removal = Record {
+                    key,
+                    offset: end.saturating_sub(1),
+                    value: None,
+                };
+                changed.extend(self.apply(removal).cloned());
+            }
+        }
+        for record in state {
+            changed.extend(self.apply(record).cloned());
+        }
+        self.reach(end);
+        changed
+    }
+
+    /// The newest records from `from` on, removals too.
+    pub fn since(&self, from: Offset) -> Vec<Record> {
+        self.records
+            .iter()
+            .filter(|record| record.offset >= from)
+            .cloned()
+            .collect()
+    }
+
+    /// The value of a key.
+    pub fn value(&self, key: &str) -> Option<&[u8]> {
+        let found = self
+            .records
+            .binary_search_by(|known| known.key.as_str().cmp(key));
+        self.records.get(found.ok()?)?.value.as_deref()
+    }
+
+    fn forget_removals(&mut self) {
+        let mut removed: Vec<Offset> = self
+            .records
+            .iter()
+            .filter(|record| record.value.is_none())
+            .map(|record| record.offset)
+            .collect();
+        if removed.len() <= REMOVALS {
+            return;
+        }
+        removed.sort_unstable();
+        let first = removed[removed.len() - REMOVALS];
+        self.records
+            .retain(|record| record.value.is_some() || record.offset >= first);
+    }
+}
--- /dev/null
+++ b/src/entry/health.rs
@@ -0,0 +1,131 @@
+use std::time::Duration;
+
+use super::TargetKey;
+
+/// Time for which a target that cannot be reached is avoided at first; a crashed one is back after seconds at least.
+const AVOID: Duration = Duration::from_millis(1_000);
+
+/// Longest time for which a target is avoided: long enough that trials cost little, short enough that a target that
+/// recovered is used again soon.
+const LONGEST: Duration = Duration::from_secs(8);
+
+/// Weight of the newest outcome in the share of failures.
+const WEIGHT: f64 = 0.2;
+
+/// Share of failures above which a target is avoided. Services answer one request in seven with an error of their own
+/// on ordinary days; the share of a sound one rarely passes this.
+const FAILING: f64 = 0.55;
+
+/// Which targets fail, learned from answers only.
+#[derive(Clone, Debug, Default)]
+pub struct Health {
+    /// Sorted by target.
+    targets: Vec<Entry>,
+}
+
+#[derive(Clone, Debug)]
+struct Entry {
+    /// Ejections in a row.
+    count: u32,
+    failures: f64,
+    /// End of an ejection that this instance found itself; only these are told to others.
+    found: Duration,
+    pace: f64,
+    target: TargetKey,
+    until: Duration,
+}
+
+impl Health {
+    /// Notes an answer, or that a target failed while it answered.
+    pub fn record(&mut self, target: TargetKey, ok: bool, now: Duration) {
+        let entry = self.entry(target);
+        let outcome = if ok { 0.0 } else { 1.0 };
+        entry.failures += WEIGHT * (outcome - entry.failures);
+        if ok && entry.failures < FAILING / 2.0 {
+            entry.count = 0;
+        }
+        if !ok && entry.failures >= FAILING {
+            entry.avoid(now);
+        }
+    }
+
+    /// Notes that a target cannot be reached, or fell silent.
+    pub fn lose(&mut self, target: TargetKey, now: Duration) {
+        self.entry(target).avoid(now);
+    }
+
+    /// Takes what another instance found.
+    pub fn hear(&mut self, target: TargetKey, left: Duration, now: Duration) {
+        let entry = self.entry(target);
+        entry.until = entry.until.max(now + left.min(LONGEST));
+    }
+
+    /// Whether the target is to be avoided.
+    pub fn is_suspect(&self, target: TargetKey, now: Duration) -> bool {
+        self.find(target).is_some_and(|entry| now < entry.until)
+    }
+
+    /// Notes how slow a target works against its figures.
+    pub fn set_pace(&mut self, target: TargetKey, pace: f64) {
+        self.entry(target).pace = pace.max(1.0);
+    }
+
+    /// How slow a target works against its figures; 1 or more.
+    pub fn pace(&self, target: TargetKey) -> f64 {
+        self.find(target).map_or(1.0, |entry| entry.pace)
+    }
+
+    /// Targets that this instance found failing, with the time left.
+    pub fn suspects(&self, now: Duration) -> Vec<(TargetKey, Duration)> {
+        self.targets
+            .iter()
+            .filter(|entry| now < entry.found)
+            .map(|entry| (entry.target, entry.found - now))
+            .collect()
+    }
+
+    /// Forgets a target, for example one that started anew.
+    pub fn forget(&mut self, target: TargetKey) {
+        self.targets.retain(|entry| entry.target != target);
+    }
+
+    fn entry(&mut self, target: TargetKey) -> &mut Entry {
+        let found = self
+            .targets
+            .binary_search_by_key(&target, |entry| entry.target);
+        let at = found.unwrap_or_else(|at| {
+            let entry = Entry {
+                count: 0,
+                failures: 0.0,
+                found: Duration::ZERO,
+                pace: 1.0,
+                target,
+                until: Duration::ZERO,
+            };
+            self.targets.insert(at, entry);
+            at
+        });
+        &mut self.targets[at]
+    }
+
+    fn find(&self, target: TargetKey) -> Option<&Entry> {
+        let found = self
+            .targets
+            .binary_search_by_key(&target, |entry| entry.target);
+        self.targets.get(found.ok()?)
+    }
+}
+
+impl Entry {
+    fn avoid(&mut self, now: Duration) {
+        if now < self.until {
+            return;
+        }
+        let time = AVOID.saturating_mul(1 << self.count.min(8)).min(LONGEST);
+        self.count += 1;
+        // One failure more after the pause avoids it again.
+        self.failures = FAILING;
+        self.found = now + time;
+        self.until = self.found;
+    }
+}
--- /dev/null
+++ b/src/entry/instance.rs
@@ -0,0 +1,294 @@
+use std::cell::{Cell, RefCell};
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use smol::LocalExecutor;
+
+use super::border::{Decoder, Order, Store, Targets, Topic};
+use super::member::Entry;
+use super::{
+    key, Budgets, Cold, Config, Directory, Engine, Fold, Health, Load, Members, Metrics, Record,
+    Service, Settings, TargetKey, View,
+};
+use crate::clock::Clock;
+use crate::event;
+use crate::event::Source;
+use crate::id::Incarnation;
+
+/// One entry instance: what it knows, and the borders that it reaches others through.
+pub struct Instance {
+    pub(super) budgets: RefCell<Budgets>,
+    pub(super) clock: Arc<Clock>,
+    pub(super) cold: RefCell<Cold>,
+    config: RefCell<Option<Rc<Config>>>,
+    pub(super) decoder: Box<dyn Decoder>,
+    pub(super) directory: RefCell<Directory>,
+    pub(super) executor: Rc<LocalExecutor<'static>>,
+    pub(super) folds: RefCell<[Fold; 3]>,
+    pub(super) health: RefCell<Health>,
+    pub(super) incarnation: Incarnation,
+    pub(super) members: RefCell<Members>,
+    /// Counters and histograms.
+    pub metrics: Metrics,
+    pub(super) settings: RefCell<Settings>,
+    pub(super) source: Source,
+    stopping: Cell<bool>,
+    pub(super) store: Rc<dyn Store>,
+    pub(super) targets: Rc<dyn Targets>,
+    pub(super) view: RefCell<View>,
+}
+
+impl Instance {
+    /// An instance that knows nothing yet.
+    ///
+    /// # Errors
+    /// Fails if the metrics cannot be registered.
+    pub fn new(
+        settings: Settings,
+        executor: Rc<LocalExecutor<'static>>,
+        decoder: Box<dyn Decoder>,
+        store: Rc<dyn Store>,
+        targets: Rc<dyn Targets>,
+    ) -> prometheus::Result<Rc<Instance>> {
+        let clock = Arc::new(Clock::new());
+        let budgets = Budgets::new(
+            settings.budget_ratio,
+            settings.budget_slack,
+            settings.budget_window,
+        );
+        Ok(Rc::new(Instance {
+            budgets: RefCell::new(budgets),
+            cold: RefCell::default(),
+            config: RefCell::default(),
+            decoder,
+            directory: RefCell::default(),
+            executor,
+            folds: RefCell::default(),
+            health: RefCell::default(),
+            incarnation: fastrand::u64(1..),
+            members: RefCell::new(Members::new(&*settings.instance)),
+            metrics: Metrics::new()?,
+            source: Source::new(clock.clone(), &*settings.instance, &*settings.domain),
+            clock,
+            settings: RefCell::new(settings),
+            stopping: Cell::new(false),
+            store,
+            targets,
+            view: RefCell::default(),
+        }))
+    }
+
+    /// The configuration in force.
+    pub fn config(&self) -> Option<Rc<Config>> {
+        self.config.borrow().clone()
+    }
+
+    /// Whether callers may be sent here: a configuration is in force, and the process does not stop.
+    pub fn is_ready(&self) -> bool {
+        !self.stopping.get() && self.config.borrow().is_some() && self.knows(Topic::Targets)
+    }
+
+    /// Whether the process was told to stop.
+    pub fn is_stopping(&self) -> bool {
+        self.stopping.get()
+    }
+
+    /// Notes that the process was told to stop.
+    pub fn stop(&self) {
+        self.stopping.set(true);
+        event!(self.source, "stopping", requests = self.view.borrow().own());
+    }
+
+    /// Takes settings that changed; the address and the ports stay as they were.
+    pub fn reload(&self, settings: Settings) {
+        *self.settings.borrow_mut() = settings;
+        event!(self.source, "settings_reloaded");
+    }
+
+    /// The source of this instance's event lines.
+    pub fn source(&self) -> &Source {
+        &self.source
+    }
+
+    /// Takes records of a topic, whatever way they came.
+    pub fn take(&self, topic: Topic, records: Vec<Record>, end: u64, whole: bool) {
+        let changed = {
+            let fold = &mut self.folds.borrow_mut()[topic as usize];
+            if whole {
+                fold.replace(records, end)
+            } else {
+                let mut changed = Vec::new();
+                for record in records {
+                    changed.extend(fold.apply(record).cloned());
+                }
+                fold.reach(end);
+                changed
+            }
+        };
+        for record in changed {
+            match topic {
+                Topic::Instances => self.take_instance(&record),
+                Topic::Operator => self.take_order(&record),
+                Topic::Targets => self.take_target(&record),
+            }
+        }
+    }
+
+    /// Whether the state of a topic is known.
+    pub fn knows(&self, topic: Topic) -> bool {
+        self.folds.borrow()[topic as usize].is_known()
+    }
+
+    /// Ends of all topics, in the order of `Topic::ALL`.
+    pub(super) fn ends(&self) -> [u64; 3] {
+        Topic::ALL.map(|topic| self.folds.borrow()[topic as usize].end())
+    }
+
+    /// The usable targets of a service with what is known of each. `tried` ones and cold ones without room take no
+    /// request. Suspected ones are among them only where `all` are asked for.
+    pub(super) fn engines(&self, service: &Service, tried: &[TargetKey], all: bool) -> Vec<Engine> {
+        let now = self.clock.now();
+        let usable = self.directory.borrow().usable(&service.name, now);
+        let loads = self.view.borrow().loads(now);
+        let settings = self.settings.borrow();
+        let health = self.health.borrow();
+        let names = self.members.borrow().names();
+        let mut engines: Vec<Engine> = Vec::with_capacity(usable.len());
+        for target in usable {
+            let key = target.key();
+            if (!all && health.is_suspect(key, now)) || tried.contains(&key) {
+                continue;
+            }
+            let found = loads.binary_search_by_key(&key, |(known, _)| *known);
+            let load = found.map_or(Load::default(), |at| loads[at].1);
+            let warm = service.cold_per_s <= 0.0 || target.cold_until <= now;
+            let admits = warm || {
+                let share = Cold::share(key, service.cold_per_s, &settings.instance, &names);
+                self.cold.borrow().has_room(key, share, now)
+            };
+            engines.push(Engine {
+                admits,
+                key,
+                load,
+                near: target.domain == settings.domain,
+                pace: health.pace(key),
+                target,
+            });
+        }
+        engines
+    }
+
+    /// Number of instances that share budgets.
+    pub(super) fn instances(&self) -> usize {
+        self.members.borrow().list().len() + 1
+    }
+
+    /// Drops what is too old to be used.
+    pub(super) fn expire(&self, now: Duration) {
+        self.view.borrow_mut().expire(now);
+        self.directory.borrow_mut().expire(now);
+    }
+
+    fn take_instance(&self, record: &Record) {
+        let address = match &record.value {
+            None => None,
+            Some(value) => match rmp_serde::from_slice::<Entry>(value) {
+                Ok(entry) => Some(entry.address),
+                Err(error) => return self.unreadable(Topic::Instances, record, &error.to_string()),
+            },
+        };
+        self.members.borrow_mut().apply(&record.key, address);
+    }
+
+    fn take_order(&self, record: &Record) {
+        match self.decoder.order(record) {
+            Ok(Some(Order::Config(config, faults))) => {
+                for fault in &faults {
+                    self.unreadable(Topic::Operator, record, fault);
+                }
+                self.take_config(*config);
+            }
+            Ok(Some(Order::Evacuate(domain, evacuated))) => {
+                self.directory.borrow_mut().evacuate(&domain, evacuated);
+                event!(
+                    self.source,
+                    "evacuation",
+                    evacuated = evacuated,
+                    offset = record.offset,
+                    of = domain
+                );
+            }
+            Ok(None) => {}
+            Err(error) => self.unreadable(Topic::Operator, record, &error),
+        }
+    }
+
+    fn take_config(&self, config: Config) {
+        let known = self
+            .config
+            .borrow()
+            .as_ref()
+            .map_or(0, |known| known.version);
+        if config.version <= known {
+            return;
+        }
+        event!(
+            self.source,
+            "config",
+            version = config.version,
+            before = known
+        );
+        self.metrics.config.set(config.version as i64);
+        *self.config.borrow_mut() = Some(Rc::new(config));
+    }
+
+    fn take_target(&self, record: &Record) {
+        let now = self.clock.now();
+        let target = match &record.value {
+            None => None,
+            Some(_) => match self.decoder.target(record, now) {
+                Ok(target) => Some(target),
+                Err(error) => {
+                    self.unreadable(Topic::Targets, record, &error);
+                    None
+                }
+            },
+        };
+        let mut directory = self.directory.borrow_mut();
+        let born = |id: &str| directory.target(id).and_then(|target| target.born);
+        if target
+            .as_ref()
+            .is_some_and(|target| born(&record.key) != target.born)
+        {
+            // A process that started anew has nothing of what was learned about the one before.
+            self.health.borrow_mut().forget(key(&record.key));
+        }
+        event!(
+            self.source,
+            "target",
+            target = record.key.as_str(),
+            offset = record.offset,
+            state = match &target {
+                None => "gone",
+                Some(target) if target.draining => "draining",
+                Some(target) if target.cold_until > now => "cold",
+                Some(_) => "ready",
+            }
+        );
+        directory.apply(&record.key, target, now);
+        self.metrics.targets.set(directory.targets().count() as i64);
+    }
+
+    fn unreadable(&self, topic: Topic, record: &Record, error: &str) {
+        event!(
+            warn,
+            self.source,
+            "record_unreadable",
+            topic = topic.name(),
+            key = record.key.as_str(),
+            offset = record.offset,
+            error = error
+        );
+    }
+}
--- /dev/null
+++ b/src/entry/member.rs
@@ -0,0 +1,125 @@
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+use super::Beat;
+use crate::id::{DomainId, Incarnation, InstanceId, Offset};
+
+/// Time without a beat after which an instance counts as out of touch: several lost beats of the slowest rate.
+const SILENCE: Duration = Duration::from_secs(2);
+
+/// Another instance.
+#[derive(Clone, Debug)]
+pub struct Member {
+    /// Where it hears beats and serves transfers.
+    pub address: SocketAddr,
+    /// Ends of the topics that it knows, in the order of `Topic::ALL`.
+    pub ends: [Offset; 3],
+    /// Time of its last beat.
+    pub heard: Option<Duration>,
+    /// Start of its process.
+    pub incarnation: Incarnation,
+    /// Name.
+    pub instance: InstanceId,
+}
+
+/// What an instance writes about itself.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub(crate) struct Entry {
+    /// Where it hears beats and serves transfers.
+    pub address: SocketAddr,
+    /// Failure domain.
+    pub domain: DomainId,
+}
+
+/// The other instances that are known, sorted by name.
+#[derive(Clone, Debug, Default)]
+pub struct Members {
+    list: Vec<Member>,
+    me: InstanceId,
+}
+
+impl Members {
+    /// No other instance.
+    pub fn new(me: impl Into<InstanceId>) -> Members {
+        Members {
+            list: Vec::new(),
+            me: me.into(),
+        }
+    }
+
+    /// Takes the entry that an instance wrote; none for its removal.
+    pub fn apply(&mut self, instance: &str, address: Option<SocketAddr>) {
+        if instance == self.me {
+            return;
+        }
+        let found = self
+            .list
+            .binary_search_by(|member| member.instance.as_str().cmp(instance));
+        match (found, address) {
+            (Ok(at), Some(address)) => self.list[at].address = address,
+            (Ok(at), None) => {
+                self.list.remove(at);
+            }
+            (Err(at), Some(address)) => self.list.insert(
+                at,
+                Member {
+                    address,
+                    ends: [0; 3],
+                    heard: None,
+                    incarnation: 0,
+                    instance: instance.to_owned(),
+                },
+            ),
+            (Err(_), None) => {}
+        }
+    }
+
+    /// Takes a beat; an instance that was not known is known from then on.
+    pub fn hear(&mut self, beat: &Beat, address: SocketAddr, now: Duration) {
+        if beat.instance == self.me {
+            return;
+        }
+        self.apply(&beat.instance, Some(address));
+        let found = self
+            .list
+            .binary_search_by(|member| member.instance.cmp(&beat.instance));
+        if let Ok(at) = found {
+            let member = &mut self.list[at];
+            member.ends = beat.ends;
+            member.heard = Some(now);
+            member.incarnation = beat.incarnation;
+        }
+    }
+
+    /// All other instances.
+    pub fn list(&self) -> &[Member] {
+        &self.list
+    }
+
+    /// Instances whose beats arrive.
+    pub fn live(&self, now: Duration) -> impl Iterator<Item = &Member> {
+        self.list
+            .iter()
+            .filter(move |member| member.heard.is_some_and(|heard| now < heard + SILENCE))
+    }
+
+    /// Names of all instances that are known, this one too, in touch or not.
+    pub fn names(&self) -> Vec<InstanceId> {
+        let mut names: Vec<InstanceId> = self
+            .list
+            .iter()
+            .map(|member| member.instance.clone())
+            .collect();
+        names.push(self.me.clone());
+        names
+    }
+
+    /// The live instance that knows most of a topic beyond `end`.
+    pub fn ahead(&self, topic: usize, end: Offset, now: Duration) -> Option<&Member> {
+        self.live(now)
+            .filter(|member| member.ends[topic] > end)
+            .max_by_key(|member| member.ends[topic])
+    }
+}
--- /dev/null
+++ b/src/entry/metric.rs
@@ -0,0 +1,80 @@
+use prometheus::{
+    Encoder, HistogramVec, IntCounter, IntCounterVec, IntGauge, Registry, TextEncoder,
+};
+
+use crate::metric::build::{counter, counters, gauge, histograms};
+
+/// Bounds of first events and whole answers in seconds; the objectives lie in the middle.
+const BOUNDS: [f64; 12] = [
+    0.025, 0.05, 0.1, 0.15, 0.2, 0.3, 0.5, 1.0, 1.5, 3.0, 6.0, 12.0,
+];
+
+/// Metrics of an entry instance. `docs/metrics.md` lists them.
+#[derive(Clone, Debug)]
+pub struct Metrics {
+    /// Beats that were sent.
+    pub beats: IntCounter,
+    /// Version of the configuration in force.
+    pub config: IntGauge,
+    /// Seconds until the first event or the whole answer, by kind of route.
+    pub first: HistogramVec,
+    /// Requests by kind of route and outcome.
+    pub requests: IntCounterVec,
+    registry: Registry,
+    /// Sends to targets by outcome.
+    pub sends: IntCounterVec,
+    /// Calls to the log by topic and outcome.
+    pub store: IntCounterVec,
+    /// Targets that are known.
+    pub targets: IntGauge,
+}
+
+impl Metrics {
+    /// Metrics at zero.
+    ///
+    /// # Errors
+    /// Fails if two have one name.
+    pub fn new() -> prometheus::Result<Metrics> {
+        let registry = Registry::new();
+        let r = &registry;
+        Ok(Metrics {
+            beats: counter(r, "entry_beats_total", "Beats sent to other instances.")?,
+            config: gauge(
+                r,
+                "entry_config_version",
+                "Version of the configuration in force.",
+            )?,
+            first: histograms(
+                r,
+                "entry_first_seconds",
+                "Time until the first event or the whole answer.",
+                &["kind"],
+                &BOUNDS,
+            )?,
+            requests: counters(
+                r,
+                "entry_requests_total",
+                "Requests of callers.",
+                &["kind", "outcome"],
+            )?,
+            sends: counters(r, "entry_sends_total", "Sends to targets.", &["outcome"])?,
+            store: counters(
+                r,
+                "entry_log_calls_total",
+                "Calls to the log.",
+                &["topic", "outcome"],
+            )?,
+            targets: gauge(r, "entry_targets", "Targets that are known.")?,
+            registry,
+        })
+    }
+
+    /// All metrics in the text format.
+    pub fn text(&self) -> Vec<u8> {
+        let mut text = Vec::new();
+        if let Err(error) = TextEncoder::new().encode(&self.registry.gather(), &mut text) {
+            return format!("# metrics cannot be written: {error}\n").into_bytes();
+        }
+        text
+    }
+}
--- /dev/null
+++ b/src/entry/peer.rs
@@ -0,0 +1,324 @@
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use futures_lite::{AsyncReadExt, AsyncWriteExt};
+use serde::{de::DeserializeOwned, Deserialize, Serialize};
+use smol::net::{TcpListener, TcpStream, UdpSocket};
+use smol::Timer;
+
+use super::border::Topic;
+use super::{Beat, Instance, Record};
+use crate::event;
+use crate::id::Offset;
+
+/// Time between two beats while requests start and end.
+const BEAT: Duration = Duration::from_millis(40);
+
+/// Added to it for each other instance, so that beats cost a large fleet no more than a small one.
+const BEAT_EACH: Duration = Duration::from_millis(2);
+
+/// Time between two beats while nothing changes.
+const IDLE_BEAT: Duration = Duration::from_millis(400);
+
+/// Time for which another instance has to be ahead before its records are fetched: the log's own answer mostly comes
+/// first.
+const BEHIND: Duration = Duration::from_millis(250);
+
+/// Longest transfer of records between instances; it takes milliseconds unless a link is broken.
+const FETCH_LIMIT: Duration = Duration::from_millis(800);
+
+/// Largest transfer.
+const FETCH_BYTES: usize = 32 << 20;
+
+/// Largest datagram that is accepted; it holds the rows of over a thousand targets.
+const DATAGRAM: usize = 60 << 10;
+
+/// A request for the records of a topic from a position on.
+#[derive(Debug, Deserialize, Serialize)]
+struct Fetch {
+    from: Offset,
+    topic: usize,
+}
+
+/// The answer to it.
+#[derive(Debug, Deserialize, Serialize)]
+struct Fetched {
+    end: Offset,
+    records: Vec<Record>,
+}
+
+/// Starts the exchange with other instances.
+pub(super) async fn start(instance: &Rc<Instance>) -> io::Result<()> {
+    let address = instance.settings.borrow().peer_address();
+    let socket = Rc::new(UdpSocket::bind(address).await?);
+    let listener = TcpListener::bind(address).await?;
+    let spawn = |task| instance.executor.spawn(task).detach();
+    spawn(Box::pin(speak(instance.clone(), socket.clone())) as super::border::Local<'static, ()>);
+    spawn(Box::pin(listen(instance.clone(), socket)));
+    spawn(Box::pin(serve(instance.clone(), listener)));
+    spawn(Box::pin(catch_up(instance.clone())));
+    Ok(())
+}
+
+async fn speak(instance: Rc<Instance>, socket: Rc<UdpSocket>) {
+    let mut last = Beat::default();
+    let mut sent = Duration::ZERO;
+    let mut sequence = 0;
+    loop {
+        let others = instance.members.borrow().list().len() as u32;
+        Timer::after(BEAT + BEAT_EACH * others).await;
+        let now = instance.clock.now();
+        instance.expire(now);
+        let mut beat = beat(&instance, now);
+        let changed = {
+            last.sequence = 0;
+            beat.rows != last.rows
+                || beat.ends != last.ends
+                || beat.suspects.len() != last.suspects.len()
+        };
+        let is_idle = !changed && now < sent + IDLE_BEAT;
+        if is_idle {
+            continue;
+        }
+        let all = now >= sent + IDLE_BEAT || sequence % 8 == 0;
+        sequence += 1;
+        beat.sequence = sequence;
+        let Ok(bytes) = rmp_serde::to_vec(&beat) else {
+            event!(error, instance.source, "beat_unwritable");
+            continue;
+        };
+        for address in addresses(&instance, now, all) {
+            // A datagram that cannot be sent is one of those that get lost.
+            if let Err(error) = socket.send_to(&bytes, address).await {
+                event!(
+                    debug,
+                    instance.source,
+                    "beat_unsent",
+                    to = address.to_string(),
+                    error = error.to_string()
+                );
+            }
+            instance.metrics.beats.inc();
+        }
+        (last, sent) = (beat, now);
+    }
+}
+
+/// Where beats go: to instances in touch; now and then also to the others and to seeds that are not known yet.
+fn addresses(instance: &Instance, now: Duration, all: bool) -> Vec<SocketAddr> {
+    let members = instance.members.borrow();
+    if !all {
+        return members.live(now).map(|member| member.address).collect();
+    }
+    let mut addresses: Vec<SocketAddr> =
+        members.list().iter().map(|member| member.address).collect();
+    let settings = instance.settings.borrow();
+    for seed in settings.seeds.iter().filter(|seed| **seed != settings.ip) {
+        let address = SocketAddr::new(*seed, settings.peer_port);
+        if !addresses.contains(&address) {
+            addresses.push(address);
+        }
+    }
+    addresses
+}
+
+fn beat(instance: &Instance, now: Duration) -> Beat {
+    let settings = instance.settings.borrow();
+    let health = instance.health.borrow();
+    let millis = |time: Duration| time.as_millis() as u32;
+    Beat {
+        domain: settings.domain.clone(),
+        ends: instance.ends(),
+        incarnation: instance.incarnation,
+        instance: settings.instance.clone(),
+        paces: Vec::new(),
+        rows: instance.view.borrow().rows(now),
+        sequence: 0,
+        suspects: health
+            .suspects(now)
+            .into_iter()
+            .map(|(target, left)| (target, millis(left)))
+            .collect(),
+    }
+}
+
+async fn listen(instance: Rc<Instance>, socket: Rc<UdpSocket>) {
+    let mut buffer = vec![0; DATAGRAM];
+    loop {
+        let (length, from) = match socket.recv_from(&mut buffer).await {
+            Ok(received) => received,
+            Err(error) => {
+                event!(
+                    warn,
+                    instance.source,
+                    "beat_unread",
+                    error = error.to_string()
+                );
+                Timer::after(BEAT).await;
+                continue;
+            }
+        };
+        match rmp_serde::from_slice::<Beat>(&buffer[..length]) {
+            Ok(beat) => hear(&instance, &beat, from),
+            Err(error) => {
+                event!(
+                    warn,
+                    instance.source,
+                    "beat_unreadable",
+                    from = from.to_string(),
+                    error = error.to_string()
+                );
+            }
+        }
+    }
+}
+
+fn hear(instance: &Instance, beat: &Beat, from: SocketAddr) {
+    let now = instance.clock.now();
+    if !instance.view.borrow_mut().hear(beat, now) {
+        return;
+    }
+    instance.members.borrow_mut().hear(beat, from, now);
+    let mut health = instance.health.borrow_mut();
+    for (target, left) in &beat.suspects {
+        health.hear(*target, Duration::from_millis(u64::from(*left)), now);
+    }
+}
+
+/// Fetches records from another instance while the log does not give them to this one.
+async fn catch_up(instance: Rc<Instance>) {
+    let mut behind: [Option<Duration>; 3] = [None; 3];
+    loop {
+        Timer::after(BEHIND / 2).await;
+        for topic in Topic::ALL {
+            let at = topic as usize;
+            let now = instance.clock.now();
+            let end = instance.ends()[at];
+            let member = instance.members.borrow().ahead(at, end, now).cloned();
+            let Some(member) = member else {
+                behind[at] = None;
+                continue;
+            };
+            let since = *behind[at].get_or_insert(now);
+            if now < since + BEHIND {
+                continue;
+            }
+            let from = if instance.knows(topic) { end } else { 0 };
+            let fetch = Fetch { from, topic: at };
+            match fetch_from(member.address, &fetch).await {
+                Ok(fetched) => {
+                    event!(
+                        instance.source,
+                        "fetched",
+                        topic = topic.name(),
+                        from = member.instance.as_str(),
+                        before = end,
+                        end = fetched.end,
+                        records = fetched.records.len()
+                    );
+                    instance.take(topic, fetched.records, fetched.end, from == 0);
+                }
+                Err(error) => {
+                    event!(
+                        warn,
+                        instance.source,
+                        "fetch_failed",
+                        topic = topic.name(),
+                        from = member.instance.as_str(),
+                        error = error.to_string()
+                    );
+                }
+            }
+        }
+    }
+}
+
+async fn fetch_from(address: SocketAddr, fetch: &Fetch) -> io::Result<Fetched> {
+    let exchange = async {
+        let mut stream = TcpStream::connect(address).await?;
+        write(&mut stream, fetch).await?;
+        read(&mut stream).await
+    };
+    let limit = async {
+        Timer::after(FETCH_LIMIT).await;
+        Err(io::ErrorKind::TimedOut.into())
+    };
+    futures_lite::future::or(exchange, limit).await
+}
+
+async fn serve(instance: Rc<Instance>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, from)) => {
+                let executor = instance.executor.clone();
+                let instance = instance.clone();
+                let task = async move {
+                    if let Err(error) = transfer(&instance, stream).await {
+                        event!(
+                            warn,
+                            instance.source,
+                            "transfer_failed",
+                            to = from.to_string(),
+                            error = error.to_string()
+                        );
+                    }
+                };
+                executor.spawn(task).detach();
+            }
+            Err(error) => {
+                event!(
+                    warn,
+                    instance.source,
+                    "transfer_failed",
+                    error = error.to_string()
+                );
+                Timer::after(BEHIND).await;
+            }
+        }
+    }
+}
+
+async fn transfer(instance: &Instance, mut stream: TcpStream) -> io::Result<()> {
+    let exchange = async {
+        let fetch: Fetch = read(&mut stream).await?;
+        let fetched = {
+            let folds = instance.folds.borrow();
+            let fold = folds.get(fetch.topic).ok_or(io::ErrorKind::InvalidData)?;
+            if !fold.is_known() {
+                return Err(io::ErrorKind::NotFound.into());
+            }
+            Fetched {
+                end: fold.end(),
+                records: fold.since(fetch.from),
+            }
+        };
+        write(&mut stream, &fetched).await
+    };
+    let limit = async {
+        Timer::after(FETCH_LIMIT).await;
+        Err(io::ErrorKind::TimedOut.into())
+    };
+    futures_lite::future::or(exchange, limit).await
+}
+
+async fn read<T: DeserializeOwned>(stream: &mut TcpStream) -> io::Result<T> {
+    let mut length = [0; 4];
+    stream.read_exact(&mut length).await?;
+    let length = u32::from_be_bytes(length) as usize;
+    if length > FETCH_BYTES {
+        return Err(io::ErrorKind::InvalidData.into());
+    }
+    let mut bytes = vec![0; length];
+    stream.read_exact(&mut bytes).await?;
+    rmp_serde::from_slice(&bytes).map_err(io::Error::other)
+}
+
+async fn write(stream: &mut TcpStream, message: &impl Serialize) -> io::Result<()> {
+    let bytes = rmp_serde::to_vec(message).map_err(io::Error::other)?;
+    let mut frame = (bytes.len() as u32).to_be_bytes().to_vec();
+    frame.extend_from_slice(&bytes);
+    stream.write_all(&frame).await?;
+    stream.flush().await
+}
--- /dev/null
+++ b/src/entry/relay.rs
@@ -0,0 +1,177 @@
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_lite::future::or;
+use smol::Timer;
+
+use super::border::{Body, Failure};
+use super::config::Kind;
+use super::serve::{Exchange, Holding, Opened};
+use super::Events;
+use crate::event;
+
+/// Silence after which a target is asked for a new connection: several passes of an engine.
+const QUIET: Duration = Duration::from_millis(700);
+
+/// Shortest silence after which a target that accepts connections is given up: a connection may be silent for good
+/// while its target works, and callers leave after two seconds of silence.
+const SILENT: Duration = Duration::from_millis(1_500);
+
+/// Pauses of the route after which a target is given up, where that is longer.
+const SILENT_GAPS: u32 = 3;
+
+/// A stream on its way to the caller; goes on at another target if its own one breaks off.
+pub struct Relay {
+    body: Box<dyn Body>,
+    ended: bool,
+    events: Events,
+    exchange: Exchange,
+    first: Option<Bytes>,
+    holding: Holding,
+    resumable: bool,
+    target: std::rc::Rc<super::Target>,
+}
+
+enum Step {
+    Broken(Failure),
+    Bytes(Bytes),
+    End,
+}
+
+impl Relay {
+    /// A stream whose first events have arrived.
+    pub(super) fn new(exchange: Exchange, opened: Opened) -> Relay {
+        let resumable = exchange.route.kind == Kind::Stream { resumable: true };
+        Relay {
+            body: opened.body,
+            ended: false,
+            events: opened.events,
+            exchange,
+            first: Some(opened.first),
+            holding: opened.holding,
+            resumable,
+            target: opened.target,
+        }
+    }
+
+    /// The next whole events; none at the proper end.
+    ///
+    /// # Errors
+    /// Fails if the stream broke and cannot go on; the caller must see that it is not complete.
+    pub async fn next(&mut self) -> Option<Result<Bytes, Failure>> {
+        if let Some(first) = self.first.take().filter(|first| !first.is_empty()) {
+            return Some(Ok(first));
+        }
+        loop {
+            if self.ended {
+                return None;
+            }
+            match self.step().await {
+                Step::Bytes(bytes) if bytes.is_empty() => {}
+                Step::Bytes(bytes) => return Some(Ok(bytes)),
+                Step::End => {
+                    self.end("ok");
+                    return None;
+                }
+                Step::Broken(failure) => match self.resume(failure).await {
+                    Some(bytes) if bytes.is_empty() => {}
+                    Some(bytes) => return Some(Ok(bytes)),
+                    None => {
+                        self.end(failure.name());
+                        return Some(Err(failure));
+                    }
+                },
+            }
+        }
+    }
+
+    async fn step(&mut self) -> Step {
+        let left = self.exchange.left();
+        if left.is_zero() {
+            return Step::Broken(Failure::Silent);
+        }
+        let silent = (self.exchange.route.gap * SILENT_GAPS).max(SILENT);
+        let (targets, address) = (&self.exchange.instance.targets, self.target.address);
+        let resumable = self.resumable;
+        let silence = async {
+            if !resumable || left <= QUIET {
+                Timer::after(left).await;
+                return None;
+            }
+            Timer::after(QUIET).await;
+            if targets.reach(address).await {
+                Timer::after(silent.min(left) - QUIET).await;
+            }
+            None
+        };
+        let read = or(async { Some(self.body.next().await) }, silence).await;
+        match read {
+            None | Some(Some(Err(Failure::Silent))) => Step::Broken(Failure::Silent),
+            Some(Some(Err(failure))) => Step::Broken(failure),
+            Some(None) if self.events.is_whole() => Step::End,
+            Some(None) => Step::Broken(Failure::Broken),
+            Some(Some(Ok(bytes))) => match self.events.push(&bytes) {
+                Ok(events) => Step::Bytes(events),
+                Err(()) => Step::Broken(Failure::Broken),
+            },
+        }
+    }
+
+    /// Goes on at another target after the last event that was delivered.
+    async fn resume(&mut self, failure: Failure) -> Option<Bytes> {
+        let instance = self.exchange.instance.clone();
+        event!(
+            instance.source,
+            "stream_broken",
+            request = self.exchange.request.id.as_str(),
+            target = self.target.id.as_str(),
+            last = self.events.last(),
+            reason = failure.name(),
+            left_ms = self.exchange.left().as_millis() as u64
+        );
+        let now = instance.clock.now();
+        let key = self.target.key();
+        if self.exchange.left().is_zero() || !self.resumable {
+            return None;
+        }
+        self.exchange.count_run();
+        if failure == Failure::Silent {
+            instance.health.borrow_mut().lose(key, now);
+        } else {
+            instance.health.borrow_mut().record(key, false, now);
+            // A connection that broke ended the request there.
+            self.exchange.forget_run();
+        }
+        if !self.exchange.may_repeat() {
+            return None;
+        }
+        self.events.cut();
+        let opened = match self.exchange.open(self.events.last()).await {
+            Ok(Ok(opened)) => opened,
+            Ok(Err(_)) | Err(_) => return None,
+        };
+        self.body = opened.body;
+        self.events = opened.events;
+        self.holding = opened.holding;
+        self.target = opened.target;
+        self.holding.read();
+        Some(opened.first)
+    }
+
+    fn end(&mut self, outcome: &str) {
+        self.ended = true;
+        let exchange = &self.exchange;
+        let kind = exchange.route.kind.name();
+        exchange
+            .instance
+            .finish(kind, &exchange.request.id, exchange.arrival, outcome);
+    }
+}
+
+impl Drop for Relay {
+    fn drop(&mut self) {
+        if !self.ended {
+            self.end("caller_left");
+        }
+    }
+}
--- a/src/event/mod.rs
+++ b/src/event/mod.rs
@@ -3,6 +3,7 @@
 //! Each event is one line of `key=value` pairs. It carries `ts` (wall time, UTC), `level`, `event` (its name), `time`
 //! (logical time), `instance` and `domain`. Ids are written by [`hex`]. Prompt text and keys are never logged.
 
+mod bounded;
 mod level;
 mod line;
 mod pairs;
@@ -10,6 +11,7 @@
 mod source;
 mod start;
 
+pub use bounded::{flush, start_bounded};
 pub use level::Level;
 pub use line::Line;
 pub use settings::Settings;
--- a/src/event/start.rs
+++ b/src/event/start.rs
@@ -4,11 +4,11 @@
 use std::sync::Arc;
 
 use tracing_subscriber::filter::Targets;
-use tracing_subscriber::fmt::writer::BoxMakeWriter;
+use tracing_subscriber::fmt::writer::{BoxMakeWriter, MakeWriter};
 use tracing_subscriber::layer::SubscriberExt;
 use tracing_subscriber::util::SubscriberInitExt;
 
-use super::{Settings, TARGET};
+use super::{Level, Settings, TARGET};
 
 /// Starts logging for the whole process.
 ///
@@ -19,6 +19,14 @@
         Some(path) => open(path)?,
         None => BoxMakeWriter::new(io::stderr),
     };
+    subscribe(writer, settings.level)
+}
+
+/// Writes the crate's events from this level on through `writer`.
+pub(super) fn subscribe(
+    writer: impl for<'a> MakeWriter<'a> + Send + Sync + 'static,
+    level: Level,
+) -> io::Result<()> {
     let layer = tracing_logfmt::builder()
         .with_span_name(false)
         .with_span_path(false)
@@ -27,7 +35,7 @@
         .layer()
         .with_writer(writer);
     tracing_subscriber::registry()
-        .with(Targets::new().with_target(TARGET, settings.level))
+        .with(Targets::new().with_target(TARGET, level))
         .with(layer)
         .try_init()
         .map_err(Error::other)
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod clock;
 pub mod command;
 pub mod daemon;
+pub mod entry;
 pub mod error;
 pub mod event;
 pub mod gang;
--- a/src/metric/build.rs
+++ b/src/metric/build.rs
@@ -22,11 +22,11 @@
         .buckets(bounds.to_vec())
 }
 
-pub(super) fn counter(registry: &Registry, name: &str, help: &str) -> Result<IntCounter> {
+pub(crate) fn counter(registry: &Registry, name: &str, help: &str) -> Result<IntCounter> {
     register(registry, IntCounter::with_opts(options(name, help))?)
 }
 
-pub(super) fn counters(
+pub(crate) fn counters(
     registry: &Registry,
     name: &str,
     help: &str,
@@ -35,11 +35,11 @@
     register(registry, IntCounterVec::new(options(name, help), labels)?)
 }
 
-pub(super) fn gauge(registry: &Registry, name: &str, help: &str) -> Result<IntGauge> {
+pub(crate) fn gauge(registry: &Registry, name: &str, help: &str) -> Result<IntGauge> {
     register(registry, IntGauge::with_opts(options(name, help))?)
 }
 
-pub(super) fn histogram(
+pub(crate) fn histogram(
     registry: &Registry,
     name: &str,
     help: &str,
@@ -48,7 +48,7 @@
     register(registry, Histogram::with_opts(buckets(name, help, bounds))?)
 }
 
-pub(super) fn histograms(
+pub(crate) fn histograms(
     registry: &Registry,
     name: &str,
     help: &str,
@@ -61,6 +61,6 @@
     )
 }
 
-pub(super) fn seconds(registry: &Registry, name: &str, help: &str) -> Result<Gauge> {
+pub(crate) fn seconds(registry: &Registry, name: &str, help: &str) -> Result<Gauge> {
     register(registry, Gauge::with_opts(options(name, help))?)
 }
--- a/src/metric/mod.rs
+++ b/src/metric/mod.rs
@@ -3,7 +3,7 @@
 //! `docs/metrics.md` lists them. Labels take their values from closed lists; a value outside of its list is counted
 //! as `other`, so that the number of series is bounded.
 
-mod build;
+pub(crate) mod build;
 mod channel;
 mod label;
 mod registry;
