--- a/src/entry/beat.rs
+++ b/src/entry/beat.rs
@@ -31,7 +31,7 @@
     pub incarnation: Incarnation,
     /// Name of the sender.
     pub instance: InstanceId,
-    /// Paces of engines that differ from 1, in percent.
+    /// Paces of engines that the sender measured lately, in percent.
     pub paces: Vec<(TargetKey, u32)>,
     /// Its work, sorted by target.
     pub rows: Vec<Row>,
--- a/src/entry/events.rs
+++ b/src/entry/events.rs
@@ -1,5 +1,7 @@
 use bytes::{Buf, Bytes, BytesMut};
 
+use super::border::Failure;
+
 /// Longest event that is waited for. A target that sends more without an end of the event is at fault.
 const LONGEST: usize = 256 << 10;
 
@@ -39,20 +41,20 @@
     /// # Errors
     /// Fails if an event has no id, or one that does not follow, or does not end. The events before it are lost to
     /// the caller of this function, who has to send them anew from another target.
-    pub fn push(&mut self, bytes: &[u8]) -> Result<Bytes, ()> {
+    pub fn push(&mut self, bytes: &[u8]) -> Result<Bytes, Failure> {
         self.buffer.extend_from_slice(bytes);
         let mut whole = 0;
         let mut last = self.last;
         while let Some(length) = event(&self.buffer[whole..]) {
-            let id = id(&self.buffer[whole..whole + length]).ok_or(())?;
+            let id = id(&self.buffer[whole..whole + length]).ok_or(Failure::Broken)?;
             if last.is_some_and(|last| id != last + 1) {
-                return Err(());
+                return Err(Failure::Broken);
             }
             last = Some(id);
             whole += length;
         }
         if self.buffer.len() - whole > LONGEST {
-            return Err(());
+            return Err(Failure::Broken);
         }
         self.last = last;
         let events = Bytes::copy_from_slice(&self.buffer[..whole]);
--- a/src/entry/health.rs
+++ b/src/entry/health.rs
@@ -30,7 +30,6 @@
     failures: f64,
     /// End of an ejection that this instance found itself; only these are told to others.
     found: Duration,
-    pace: f64,
     target: TargetKey,
     until: Duration,
 }
@@ -65,16 +64,6 @@
         self.find(target).is_some_and(|entry| now < entry.until)
     }
 
-    /// Notes how slow a target works against its figures.
-    pub fn set_pace(&mut self, target: TargetKey, pace: f64) {
-        self.entry(target).pace = pace.max(1.0);
-    }
-
-    /// How slow a target works against its figures; 1 or more.
-    pub fn pace(&self, target: TargetKey) -> f64 {
-        self.find(target).map_or(1.0, |entry| entry.pace)
-    }
-
     /// Targets that this instance found failing, with the time left.
     pub fn suspects(&self, now: Duration) -> Vec<(TargetKey, Duration)> {
         self.targets
@@ -98,7 +87,6 @@
                 count: 0,
                 failures: 0.0,
                 found: Duration::ZERO,
-                pace: 1.0,
                 target,
                 until: Duration::ZERO,
             };
--- a/src/entry/instance.rs
+++ b/src/entry/instance.rs
@@ -8,8 +8,8 @@
 use super::border::{Decoder, Order, Store, Targets, Topic};
 use super::member::Entry;
 use super::{
-    key, Budgets, Cold, Config, Directory, Engine, Fold, Health, Load, Members, Metrics, Record,
-    Service, Settings, TargetKey, View,
+    key, Budgets, Cold, Config, Directory, Engine, Fold, Health, Load, Members, Metrics, Pace,
+    Record, Service, Settings, TargetKey, View,
 };
 use crate::clock::Clock;
 use crate::event;
@@ -29,6 +29,7 @@
     pub(super) health: RefCell<Health>,
     pub(super) incarnation: Incarnation,
     pub(super) members: RefCell<Members>,
+    pub(super) pace: RefCell<Pace>,
     /// Counters and histograms.
     pub metrics: Metrics,
     pub(super) settings: RefCell<Settings>,
@@ -69,6 +70,7 @@
             incarnation: fastrand::u64(1..),
             members: RefCell::new(Members::new(&*settings.instance)),
             metrics: Metrics::new()?,
+            pace: RefCell::default(),
             source: Source::new(clock.clone(), &*settings.instance, &*settings.domain),
             clock,
             settings: RefCell::new(settings),
@@ -153,6 +155,7 @@
         let loads = self.view.borrow().loads(now);
         let settings = self.settings.borrow();
         let health = self.health.borrow();
+        let pace = self.pace.borrow();
         let names = self.members.borrow().names();
         let mut engines: Vec<Engine> = Vec::with_capacity(usable.len());
         for target in usable {
@@ -172,7 +175,7 @@
                 key,
                 load,
                 near: target.domain == settings.domain,
-                pace: health.pace(key),
+                pace: pace.pace(key, now),
                 target,
             });
         }
@@ -188,6 +191,7 @@
     pub(super) fn expire(&self, now: Duration) {
         self.view.borrow_mut().expire(now);
         self.directory.borrow_mut().expire(now);
+        self.pace.borrow_mut().expire(now);
     }
 
     fn take_instance(&self, record: &Record) {
--- a/src/entry/peer.rs
+++ b/src/entry/peer.rs
@@ -133,7 +133,12 @@
         ends: instance.ends(),
         incarnation: instance.incarnation,
         instance: settings.instance.clone(),
-        paces: Vec::new(),
+        paces: instance
+            .pace
+            .borrow()
+            .own(now)
+            .map(|(target, pace)| (target, (pace * 100.0) as u32))
+            .collect(),
         rows: instance.view.borrow().rows(now),
         sequence: 0,
         suspects: health
@@ -181,6 +186,10 @@
         return;
     }
     instance.members.borrow_mut().hear(beat, from, now);
+    let mut pace = instance.pace.borrow_mut();
+    for (target, percent) in &beat.paces {
+        pace.hear(beat.incarnation, *target, f64::from(*percent) / 100.0, now);
+    }
     let mut health = instance.health.borrow_mut();
     for (target, left) in &beat.suspects {
         health.hear(*target, Duration::from_millis(u64::from(*left)), now);
--- a/src/entry/place.rs
+++ b/src/entry/place.rs
@@ -17,6 +17,10 @@
 /// Shortest part of a prompt that is worth a helper: about one step of reading.
 const LEAST_PART: Duration = Duration::from_millis(14);
 
+/// Pace from which an engine counts as slow and comes last: an event then takes as long as a chat's pause allows with
+/// half of it left for reading.
+const SLOW: f64 = 1.8;
+
 /// Cost of one more helper, as time: each one can fail or be late.
 const HELPER_COST: Duration = Duration::from_millis(3);
 
@@ -63,7 +67,7 @@
 /// Returns none if no engine can take the request now.
 pub fn place(ask: &Ask, figures: &Figures, engines: &[Engine], luck: u64) -> Option<Placement> {
     let mut order: Vec<&Engine> = engines.iter().collect();
-    order.sort_by_key(|engine| engine.key);
+    order.sort_by_key(|engine| (engine.pace >= SLOW, engine.key));
     let split = writers(&order, figures);
     let read = figures.read(ask.prompt);
     let light = is_light(read, ask, figures, order.len());
--- a/src/entry/relay.rs
+++ b/src/entry/relay.rs
@@ -28,6 +28,7 @@
     exchange: Exchange,
     first: Option<Bytes>,
     holding: Holding,
+    last: Option<Duration>,
     resumable: bool,
     target: std::rc::Rc<super::Target>,
 }
@@ -49,6 +50,7 @@
             exchange,
             first: Some(opened.first),
             holding: opened.holding,
+            last: None,
             resumable,
             target: opened.target,
         }
@@ -111,12 +113,30 @@
             Some(None) if self.events.is_whole() => Step::End,
             Some(None) => Step::Broken(Failure::Broken),
             Some(Some(Ok(bytes))) => match self.events.push(&bytes) {
-                Ok(events) => Step::Bytes(events),
-                Err(()) => Step::Broken(Failure::Broken),
+                Ok(events) => {
+                    self.measure(&events);
+                    Step::Bytes(events)
+                }
+                Err(failure) => Step::Broken(failure),
             },
         }
     }
 
+    /// Takes the pause before these events as a measure of how slow the engine works.
+    fn measure(&mut self, events: &Bytes) {
+        let (instance, service) = (&self.exchange.instance, &self.exchange.service);
+        let Some(figures) = service.figures.as_ref().filter(|_| !events.is_empty()) else {
+            return;
+        };
+        let now = instance.clock.now();
+        let last = self.last.replace(now);
+        if let Some(last) = last {
+            let pause = now.saturating_sub(last);
+            let mut pace = instance.pace.borrow_mut();
+            pace.pause(self.target.key(), pause, figures.pass(), now);
+        }
+    }
+
     /// Goes on at another target after the last event that was delivered.
     async fn resume(&mut self, failure: Failure) -> Option<Bytes> {
         let instance = self.exchange.instance.clone();
@@ -155,6 +175,7 @@
         self.holding = opened.holding;
         self.target = opened.target;
         self.holding.read();
+        self.last = None;
         Some(opened.first)
     }
 
--- a/src/entry/serve.rs
+++ b/src/entry/serve.rs
@@ -112,7 +112,7 @@
     /// Sends after which the request may have run on a target that still lives.
     runs: u32,
     sends: u32,
-    service: Rc<Service>,
+    pub(super) service: Rc<Service>,
     tried: Vec<TargetKey>,
     workspace: Option<WorkspaceId>,
 }
@@ -477,7 +477,7 @@
             first = match reply.body.next().await {
                 Some(Ok(bytes)) => match events.push(&bytes) {
                     Ok(whole) => whole,
-                    Err(()) => return Outcome::Failed(Failure::Broken),
+                    Err(failure) => return Outcome::Failed(failure),
                 },
                 Some(Err(failure)) => return Outcome::Failed(failure),
                 None if events.is_whole() => break,
