place: Keep long prompts here until engines are free; share memory by tickets

Cause: prompts over one engine's memory were held and refused; a domain that cannot be reached cost each request a connection limit of 300 ms; another domain's suspects took sound targets from this one. Change: reservations that are renewed and released, `entry::Reach` for cut domains, probes of lost targets, choices that may wait, prompts that are late anyway on few engines.

--- a/src/entry/border.rs
+++ b/src/entry/border.rs
@@ -61,8 +61,8 @@
 pub struct Call {
     /// Time left for the target.
     pub deadline: Duration,
-    /// Engines that read parts of the prompt.
-    pub helpers: Vec<SocketAddr>,
+    /// Engines that read parts of the prompt, with the ticket of the memory that is set aside there, if any.
+    pub helpers: Vec<(SocketAddr, Option<String>)>,
     /// Urgency; 0 is first.
     pub rank: u8,
     /// The caller's request.
@@ -104,6 +104,19 @@
     /// Whether a new connection to the address is accepted in time.
     fn reach(&self, address: SocketAddr) -> Local<'_, bool>;
 
+    /// Ends a reservation of memory.
+    fn release<'a>(&'a self, target: &'a Target, ticket: &'a str) -> Local<'a, bool>;
+
+    /// Sets memory aside for `hold`, or holds it for that long from now on. False if the memory is not free, or if it is
+    /// not known whether it was set aside.
+    fn reserve<'a>(
+        &'a self,
+        target: &'a Target,
+        ticket: &'a str,
+        tokens: u32,
+        hold: Duration,
+    ) -> Local<'a, bool>;
+
     /// Sends a request and waits for the head of the answer. Dropping the future or the body ends the request.
     fn send(&self, call: Call) -> Local<'_, Result<Reply, Failure>>;
 }
--- a/src/entry/engine.rs
+++ b/src/entry/engine.rs
@@ -6,6 +6,9 @@
 /// Time between the end of a pass and the arrival of its events at the caller, and the error of predictions.
 const SLACK: Duration = Duration::from_millis(40);
 
+/// Share of an engine's memory that is used. Memory that runs out costs the newest request its whole reading.
+const USED: f64 = 0.97;
+
 /// An engine as it is seen when a request is placed.
 #[derive(Clone, Debug)]
 pub struct Engine {
@@ -45,9 +48,18 @@
 
     /// Whether a request with `tokens` tokens of context finds a slot and memory.
     pub fn fits(&self, figures: &Figures, tokens: u32) -> bool {
+        self.has_slot(figures) && tokens <= self.free(figures)
+    }
+
+    /// Tokens of context that fit in beside what is there; a part is left for what others send before their next beat.
+    pub fn free(&self, figures: &Figures) -> u32 {
+        let usable = (f64::from(figures.memory) * USED) as u32;
+        usable.saturating_sub(self.load.tokens)
+    }
+
+    /// Whether a request finds a slot.
+    pub fn has_slot(&self, figures: &Figures) -> bool {
         let slots = figures.slots.min(self.target.slots.max(1));
-        self.admits
-            && self.load.running < slots
-            && self.load.tokens.saturating_add(tokens) <= figures.memory
+        self.admits && self.load.running < slots
     }
 }
--- a/src/entry/health.rs
+++ b/src/entry/health.rs
@@ -30,6 +30,8 @@
     failures: f64,
     /// End of an ejection that this instance found itself; only these are told to others.
     found: Duration,
+    /// Whether it was not reached by its last connection.
+    lost: bool,
     target: TargetKey,
     until: Duration,
 }
@@ -48,11 +50,34 @@
         }
     }
 
-    /// Notes that a target cannot be reached, or fell silent.
+    /// Notes that a target cannot be reached.
     pub fn lose(&mut self, target: TargetKey, now: Duration) {
+        let entry = self.entry(target);
+        entry.lost = true;
+        entry.avoid(now);
+    }
+
+    /// Notes that a lost target can be reached again.
+    pub fn regain(&mut self, target: TargetKey) {
+        let entry = self.entry(target);
+        if entry.lost {
+            entry.lost = false;
+            entry.failures = 0.0;
+            entry.found = Duration::ZERO;
+            entry.until = Duration::ZERO;
+        }
+    }
+
+    /// Notes that a target fell silent, or is named as the cause of another one's failure.
+    pub fn avoid(&mut self, target: TargetKey, now: Duration) {
         self.entry(target).avoid(now);
     }
 
+    /// Whether a target was not reached by its last connection.
+    pub fn is_lost(&self, target: TargetKey) -> bool {
+        self.find(target).is_some_and(|entry| entry.lost)
+    }
+
     /// Takes what another instance found.
     pub fn hear(&mut self, target: TargetKey, left: Duration, now: Duration) {
         let entry = self.entry(target);
@@ -61,7 +86,8 @@
 
     /// Whether the target is to be avoided.
     pub fn is_suspect(&self, target: TargetKey, now: Duration) -> bool {
-        self.find(target).is_some_and(|entry| now < entry.until)
+        self.find(target)
+            .is_some_and(|entry| entry.lost || now < entry.until)
     }
 
     /// Targets that this instance found failing, with the time left.
@@ -87,6 +113,7 @@
                 count: 0,
                 failures: 0.0,
                 found: Duration::ZERO,
+                lost: false,
                 target,
                 until: Duration::ZERO,
             };
--- a/src/entry/instance.rs
+++ b/src/entry/instance.rs
@@ -9,7 +9,7 @@
 use super::member::Entry;
 use super::{
     key, Budgets, Cold, Config, Directory, Engine, Fold, Health, Load, Members, Metrics, Pace,
-    Record, Service, Settings, TargetKey, View,
+    Reach, Record, Service, Settings, Target, TargetKey, View,
 };
 use crate::clock::Clock;
 use crate::event;
@@ -32,9 +32,11 @@
     pub(super) pace: RefCell<Pace>,
     /// Counters and histograms.
     pub metrics: Metrics,
+    pub(super) reach: RefCell<Reach>,
     pub(super) settings: RefCell<Settings>,
     pub(super) source: Source,
     stopping: Cell<bool>,
+    tickets: Cell<u64>,
     pub(super) store: Rc<dyn Store>,
     pub(super) targets: Rc<dyn Targets>,
     pub(super) view: RefCell<View>,
@@ -73,8 +75,10 @@
             pace: RefCell::default(),
             source: Source::new(clock.clone(), &*settings.instance, &*settings.domain),
             clock,
+            reach: RefCell::default(),
             settings: RefCell::new(settings),
             stopping: Cell::new(false),
+            tickets: Cell::new(0),
             store,
             targets,
             view: RefCell::default(),
@@ -156,11 +160,13 @@
         let settings = self.settings.borrow();
         let health = self.health.borrow();
         let pace = self.pace.borrow();
+        let reach = self.reach.borrow();
         let names = self.members.borrow().names();
         let mut engines: Vec<Engine> = Vec::with_capacity(usable.len());
         for target in usable {
             let key = target.key();
-            if (!all && health.is_suspect(key, now)) || tried.contains(&key) {
+            let is_suspect = health.is_suspect(key, now) || reach.is_cut(&target.domain);
+            if (!all && is_suspect) || tried.contains(&key) {
                 continue;
             }
             let found = loads.binary_search_by_key(&key, |(known, _)| *known);
@@ -182,6 +188,47 @@
         engines
     }
 
+    /// Notes that no connection to a target was accepted in time.
+    pub(super) fn lost(&self, target: &Target) {
+        let now = self.clock.now();
+        self.health.borrow_mut().lose(target.key(), now);
+        if self
+            .reach
+            .borrow_mut()
+            .lose(&target.domain, target.key(), now)
+        {
+            event!(
+                warn,
+                self.source,
+                "domain_lost",
+                of = target.domain.as_str()
+            );
+        }
+    }
+
+    /// Notes that a target accepted a connection.
+    pub(super) fn reached(&self, target: &Target) {
+        self.health.borrow_mut().regain(target.key());
+        if self.reach.borrow_mut().reached(&target.domain) {
+            event!(self.source, "domain_regained", of = target.domain.as_str());
+            let directory = self.directory.borrow();
+            let mut health = self.health.borrow_mut();
+            for other in directory
+                .targets()
+                .filter(|other| other.domain == target.domain)
+            {
+                health.regain(other.key());
+            }
+        }
+    }
+
+    /// A name for memory that no other instance and no other request uses.
+    pub(super) fn next_ticket(&self) -> String {
+        let number = self.tickets.get() + 1;
+        self.tickets.set(number);
+        format!("{:x}-{number:x}", self.incarnation)
+    }
+
     /// Number of instances that share budgets.
     pub(super) fn instances(&self) -> usize {
         self.members.borrow().list().len() + 1
--- a/src/entry/peer.rs
+++ b/src/entry/peer.rs
@@ -190,6 +190,10 @@
     for (target, percent) in &beat.paces {
         pace.hear(beat.incarnation, *target, f64::from(*percent) / 100.0, now);
     }
+    if beat.domain != instance.settings.borrow().domain {
+        // A target that another domain cannot reach may be sound and near this one.
+        return;
+    }
     let mut health = instance.health.borrow_mut();
     for (target, left) in &beat.suspects {
         health.hear(*target, Duration::from_millis(u64::from(*left)), now);
--- /dev/null
+++ b/src/entry/place/whole.rs
@@ -0,0 +1,57 @@
+use std::time::Duration;
+
+use super::{Choice, Fleet, Placement};
+use crate::entry::Engine;
+
+/// Cost of another failure domain, as time: the path there and back.
+const FAR_COST: Duration = Duration::from_millis(4);
+
+/// Part of the objective up to which engines set aside for writers are used before others. The rest covers the wait for
+/// the end of a pass and what other instances send at the same time.
+const USUAL: f64 = 0.5;
+
+impl Fleet<'_> {
+    /// Places a prompt that one engine reads: on the engine of the writers that has read it first.
+    pub(super) fn whole(&self) -> Choice {
+        let (head, tail) = self.order.split_at(self.split);
+        let best = match self.first_done(head) {
+            Some((wait, engine)) if wait <= self.ask.aim.mul_f64(USUAL) => Some((wait, engine)),
+            near => [near, self.first_done(tail)]
+                .into_iter()
+                .flatten()
+                .min_by_key(|(wait, _)| *wait),
+        };
+        let Some((wait, engine)) = best else {
+            return Choice::Wait;
+        };
+        if wait >= self.ask.left {
+            return Choice::Wait;
+        }
+        Choice::Place(Placement {
+            first: engine.target.clone(),
+            helpers: Vec::new(),
+            light: true,
+            part: self.read,
+            rest: self.ask.tokens,
+            wait,
+        })
+    }
+
+    fn first_done<'a>(&self, engines: &[&'a Engine]) -> Option<(Duration, &'a Engine)> {
+        let cost = |engine: &Engine| {
+            let far = if engine.near {
+                Duration::ZERO
+            } else {
+                FAR_COST
+            };
+            let pass = engine.pass(self.figures);
+            engine.backlog() + pass + self.read.mul_f64(engine.pace) + far
+        };
+        engines
+            .iter()
+            .enumerate()
+            .filter(|(_, engine)| engine.fits(self.figures, self.ask.tokens))
+            .min_by_key(|(at, engine)| (cost(engine), self.mix(*at)))
+            .map(|(_, engine)| (cost(engine), *engine))
+    }
+}
--- a/src/entry/relay.rs
+++ b/src/entry/relay.rs
@@ -11,7 +11,7 @@
 use crate::event;
 
 /// Silence after which a target is asked for a new connection: several passes of an engine.
-const QUIET: Duration = Duration::from_millis(700);
+const QUIET: Duration = Duration::from_millis(500);
 
 /// Shortest silence after which a target that accepts connections is given up: a connection may be silent for good
 /// while its target works, and callers leave after two seconds of silence.
@@ -33,6 +33,12 @@
     target: std::rc::Rc<super::Target>,
 }
 
+enum Read {
+    Lost,
+    Piece(Option<Result<Bytes, Failure>>),
+    Silent,
+}
+
 enum Step {
     Broken(Failure),
     Bytes(Bytes),
@@ -98,21 +104,26 @@
         let silence = async {
             if !resumable || left <= QUIET {
                 Timer::after(left).await;
-                return None;
+                return Read::Silent;
             }
             Timer::after(QUIET).await;
-            if targets.reach(address).await {
-                Timer::after(silent.min(left) - QUIET).await;
+            if !targets.reach(address).await {
+                return Read::Lost;
             }
-            None
+            Timer::after(silent.min(left).saturating_sub(QUIET)).await;
+            Read::Silent
         };
-        let read = or(async { Some(self.body.next().await) }, silence).await;
+        let read = or(async { Read::Piece(self.body.next().await) }, silence).await;
         match read {
-            None | Some(Some(Err(Failure::Silent))) => Step::Broken(Failure::Silent),
-            Some(Some(Err(failure))) => Step::Broken(failure),
-            Some(None) if self.events.is_whole() => Step::End,
-            Some(None) => Step::Broken(Failure::Broken),
-            Some(Some(Ok(bytes))) => match self.events.push(&bytes) {
+            Read::Lost => {
+                self.exchange.instance.lost(&self.target);
+                Step::Broken(Failure::Unreachable)
+            }
+            Read::Silent => Step::Broken(Failure::Silent),
+            Read::Piece(Some(Err(failure))) => Step::Broken(failure),
+            Read::Piece(None) if self.events.is_whole() => Step::End,
+            Read::Piece(None) => Step::Broken(Failure::Broken),
+            Read::Piece(Some(Ok(bytes))) => match self.events.push(&bytes) {
                 Ok(events) => {
                     self.measure(&events);
                     Step::Bytes(events)
@@ -156,7 +167,7 @@
         }
         self.exchange.count_run();
         if failure == Failure::Silent {
-            instance.health.borrow_mut().lose(key, now);
+            instance.health.borrow_mut().avoid(key, now);
         } else {
             instance.health.borrow_mut().record(key, false, now);
             // A connection that broke ended the request there.
--- a/src/entry/serve.rs
+++ b/src/entry/serve.rs
@@ -8,9 +8,10 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::border::{Body, Call, Failure, Reply};
+use super::reservation::Reservation;
 use super::{
-    pick, place, Answer, Ask, Content, Events, Instance, Placement, Relay, Request, Route, Service,
-    Target, TargetKey, Work,
+    pick, place, Answer, Ask, Choice, Content, Events, Instance, Placement, Relay, Request, Route,
+    Service, Target, TargetKey, Work,
 };
 use crate::error::Kind;
 use crate::event;
@@ -24,8 +25,8 @@
 /// Most sends of one request, those included that a target turned away or that never left.
 const SENDS: u32 = 6;
 
-/// Time after which a silent target is asked for a new connection: several passes of an engine.
-const QUIET: Duration = Duration::from_millis(700);
+/// Time past the predicted first event after which a silent target is asked for a new connection: several passes.
+const QUIET: Duration = Duration::from_millis(250);
 
 /// Added to three times the predicted time until a target that accepts connections but sends nothing is given up.
 const PATIENCE: Duration = Duration::from_secs(2);
@@ -49,6 +50,8 @@
 pub(super) struct Holding {
     instance: Rc<Instance>,
     number: u64,
+    /// Memory at other engines; released when the request ends.
+    reservations: Vec<Reservation>,
 }
 
 impl Holding {
@@ -88,6 +91,8 @@
     Answered(Whole),
     /// No answer that counts.
     Failed(Failure),
+    /// Memory that the request needs at other targets was not free; nothing was sent.
+    NoMemory,
     /// The target says that it did not run the request.
     NotRun(Option<String>),
     Opened(Opened),
@@ -125,6 +130,8 @@
     pub async fn start(self: &Rc<Self>) -> std::io::Result<()> {
         super::peer::start(self).await?;
         super::follow::start(self);
+        let probe = super::probe::run(self.clone());
+        self.executor.spawn(probe).detach();
         event!(
             self.source,
             "started",
@@ -269,6 +276,13 @@
                         return Err(self.unknown(failure));
                     }
                 }
+                Outcome::NoMemory => {
+                    self.tried.pop();
+                    Timer::after(LOOK).await;
+                    if self.sends < SENDS && !self.left().is_zero() {
+                        continue;
+                    }
+                }
                 Outcome::Failed(_) | Outcome::NotRun(_) => {}
             }
             if !self.may_repeat() {
@@ -318,14 +332,19 @@
     /// Finds a place, and waits for one for a part of the objective.
     async fn find(&self) -> Result<Placement, GivenUp> {
         let instance = &self.instance;
-        let patience = (self.route.objective / QUEUE_SHARE).min(self.left() / 4);
+        let patience = match self.route.kind {
+            RouteKind::Stream { .. } => self.left(),
+            RouteKind::Once | RouteKind::Repeatable => {
+                (self.route.objective / QUEUE_SHARE).min(self.left() / 4)
+            }
+        };
         let until = instance.clock.now() + patience;
         loop {
-            if let Some(placement) = self.choose() {
-                return Ok(placement);
-            }
-            if instance.clock.now() >= until {
-                break;
+            match self.choose() {
+                Choice::Place(placement) => return Ok(placement),
+                Choice::Hopeless => break,
+                Choice::Wait if instance.clock.now() >= until => break,
+                Choice::Wait => {}
             }
             Timer::after(LOOK).await;
         }
@@ -353,7 +372,7 @@
         })
     }
 
-    fn choose(&self) -> Option<Placement> {
+    fn choose(&self) -> Choice {
         let instance = &self.instance;
         let mut engines = instance.engines(&self.service, &self.tried, false);
         if engines.is_empty() {
@@ -362,11 +381,15 @@
         let now = instance.clock.now();
         let luck = fastrand::u64(..);
         let Some(figures) = &self.service.figures else {
-            return pick(&engines, luck).map(|first| Placement {
+            let Some(first) = pick(&engines, luck) else {
+                return Choice::Wait;
+            };
+            return Choice::Place(Placement {
                 first,
                 helpers: Vec::new(),
                 light: false,
                 part: Duration::ZERO,
+                rest: 0,
                 wait: self.route.objective,
             });
         };
@@ -385,21 +408,38 @@
         let instance = &self.instance;
         let now = instance.clock.now();
         let target = placement.first.clone();
-        let prompt = self.request.prompt.unwrap_or_default();
+        let helpers = &placement.helpers;
         let number = instance.view.borrow_mut().start(Work {
             finish: now + placement.wait,
             first: target.key(),
             gap: self.route.gap,
-            helpers: placement.helpers.iter().map(|(key, _)| *key).collect(),
+            helpers: helpers
+                .iter()
+                .map(|helper| (helper.target.key(), helper.hold))
+                .collect(),
             light: placement.light,
             part: placement.part,
             start: now,
-            tokens: (prompt.tokens + prompt.answer) as u32,
+            tokens: placement.rest,
         });
-        let holding = Holding {
+        let mut holding = Holding {
             instance: instance.clone(),
             number,
+            reservations: Vec::new(),
         };
+        let mut calls = Vec::with_capacity(helpers.len());
+        for helper in helpers {
+            let mut ticket = None;
+            if helper.hold > 0 {
+                let taken = Reservation::take(instance, &helper.target, helper.hold).await;
+                let Some(reservation) = taken else {
+                    return Outcome::NoMemory;
+                };
+                ticket = Some(reservation.ticket().to_owned());
+                holding.reservations.push(reservation);
+            }
+            calls.push((helper.target.address, ticket));
+        }
         instance.cold.borrow_mut().count(target.key(), now);
         event!(
             instance.source,
@@ -414,11 +454,7 @@
         );
         let call = Call {
             deadline: self.left(),
-            helpers: placement
-                .helpers
-                .iter()
-                .map(|(_, address)| *address)
-                .collect(),
+            helpers: calls,
             rank: self.rank,
             request: self.request.clone(),
             resume,
@@ -511,10 +547,11 @@
         let patience = (predicted * 3 + PATIENCE).min(limit);
         let mut waited = Duration::ZERO;
         while waited < patience {
-            let step = QUIET.min(patience - waited);
+            let step = (predicted + QUIET).min(patience - waited);
             Timer::after(step).await;
             waited += step;
             if waited < patience && !self.instance.targets.reach(target.address).await {
+                self.instance.lost(target);
                 return;
             }
         }
@@ -536,21 +573,24 @@
                     health.record(key, !whole.status.is_server_error(), now);
                     "answered"
                 }
-                Outcome::Failed(Failure::Unreachable) => {
-                    health.lose(key, now);
-                    "unreachable"
-                }
+                Outcome::Failed(Failure::Unreachable) => "unreachable",
                 Outcome::Failed(Failure::Silent) if self.left().is_zero() => "silent",
                 Outcome::Failed(failure) => {
                     health.record(key, false, now);
                     failure.name()
                 }
+                Outcome::NoMemory => "no_memory",
                 Outcome::NotRun(fault) => {
                     self.blame(&mut health, fault.as_deref(), now);
                     "not_run"
                 }
             }
         };
+        match outcome {
+            Outcome::Failed(Failure::Unreachable) => instance.lost(target),
+            Outcome::Opened(_) | Outcome::Answered(_) => instance.reached(target),
+            Outcome::Failed(_) | Outcome::NoMemory | Outcome::NotRun(_) => {}
+        }
         instance.metrics.sends.with_label_values(&[name]).inc();
         event!(
             instance.source,
@@ -573,7 +613,7 @@
             .targets()
             .find(|target| target.id == fault || target.address.to_string() == fault);
         if let Some(target) = named {
-            health.lose(target.key(), now);
+            health.avoid(target.key(), now);
         }
     }
 
--- a/src/entry/view.rs
+++ b/src/entry/view.rs
@@ -19,15 +19,15 @@
     pub first: TargetKey,
     /// Longest pause between events that it bears; zero without a stream.
     pub gap: Duration,
-    /// Targets that read a part of the prompt besides the first.
-    pub helpers: Vec<TargetKey>,
+    /// Targets that read a part of the prompt besides the first, and the tokens of context that each holds.
+    pub helpers: Vec<(TargetKey, u32)>,
     /// Whether its prompt is short.
     pub light: bool,
     /// Reading time of each part.
     pub part: Duration,
     /// Time at which it was sent.
     pub start: Duration,
-    /// Tokens of context.
+    /// Tokens of context at the first target.
     pub tokens: u32,
 }
 
@@ -133,8 +133,10 @@
             if gap > 0 && (row.gap_ms == 0 || gap < row.gap_ms) {
                 row.gap_ms = gap;
             }
-            for helper in &work.helpers {
-                self::row(&mut rows, *helper).backlog_ms += ahead;
+            for (helper, held) in &work.helpers {
+                let row = self::row(&mut rows, *helper);
+                row.backlog_ms += ahead;
+                row.tokens = row.tokens.saturating_add(*held);
             }
         }
         rows
