serve: Do not end a request because a target that accepts connections is silent

Ruled out: broken targets; all of them accepted new connections and answered other requests. Change: only a target that refuses connections is left early; silence counts when the caller is about to leave.

--- a/src/entry/config.rs
+++ b/src/entry/config.rs
@@ -3,6 +3,9 @@
 
 use crate::id::WorkspaceId;
 
+/// Shortest silence after which callers of a stream leave.
+const PATIENCE: Duration = Duration::from_secs(2);
+
 /// What may be done with a request of a route.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Kind {
@@ -83,6 +86,11 @@
 }
 
 impl Route {
+    /// Silence after which callers of a stream leave, before the first event and between two.
+    pub fn patience(&self) -> Duration {
+        PATIENCE.max(self.objective * 4).max(self.gap * 8)
+    }
+
     /// The service for a request with this hash; a hash always gets the same one while the weights stay.
     pub fn service(&self, hash: u64) -> Option<&str> {
         let total: u64 = self
--- a/src/entry/relay.rs
+++ b/src/entry/relay.rs
@@ -6,20 +6,13 @@
 
 use super::border::{Body, Failure};
 use super::config::Kind;
-use super::serve::{Exchange, Holding, Opened};
+use super::serve::{Exchange, Holding, Opened, GIVE_UP};
 use super::Events;
 use crate::event;
 
 /// Silence after which a target is asked for a new connection: several passes of an engine.
 const QUIET: Duration = Duration::from_millis(500);
 
-/// Shortest silence after which a target that accepts connections is given up: a connection may be silent for good
-/// while its target works, and callers leave after two seconds of silence.
-const SILENT: Duration = Duration::from_millis(1_500);
-
-/// Pauses of the route after which a target is given up, where that is longer.
-const SILENT_GAPS: u32 = 3;
-
 /// A stream on its way to the caller; goes on at another target if its own one breaks off.
 pub struct Relay {
     body: Box<dyn Body>,
@@ -98,7 +91,7 @@
         if left.is_zero() {
             return Step::Broken(Failure::Silent);
         }
-        let silent = (self.exchange.route.gap * SILENT_GAPS).max(SILENT);
+        let silent = self.exchange.route.patience().mul_f64(GIVE_UP);
         let (targets, address) = (&self.exchange.instance.targets, self.target.address);
         let resumable = self.resumable;
         let silence = async {
@@ -177,6 +170,7 @@
             return None;
         }
         self.events.cut();
+        self.exchange.resumes = true;
         let opened = match self.exchange.open(self.events.last()).await {
             Ok(Ok(opened)) => opened,
             Ok(Err(_)) | Err(_) => return None,
--- a/src/entry/serve.rs
+++ b/src/entry/serve.rs
@@ -28,8 +28,9 @@
 /// Time past the predicted first event after which a silent target is asked for a new connection: several passes.
 const QUIET: Duration = Duration::from_millis(250);
 
-/// Added to three times the predicted time until a target that accepts connections but sends nothing is given up.
-const PATIENCE: Duration = Duration::from_secs(2);
+/// Part of the callers' patience after which a target that accepts connections but sends nothing is given up: its
+/// connection may be silent for good. Silence of a target that works is no reason to end a request.
+pub(super) const GIVE_UP: f64 = 0.8;
 
 /// A repeatable request without a stream is sent again after this many objectives, if it may be.
 const LATE: u32 = 3;
@@ -114,6 +115,8 @@
     rank: u8,
     pub(super) request: Rc<Request>,
     pub(super) route: Rc<Route>,
+    /// Whether the caller has events already.
+    pub(super) resumes: bool,
     /// Sends after which the request may have run on a target that still lives.
     runs: u32,
     sends: u32,
@@ -229,6 +232,7 @@
             rank: known.and_then(|known| known.rank).unwrap_or(route.rank),
             request: request.clone(),
             route: route.clone(),
+            resumes: false,
             runs: 0,
             sends: 0,
             service: service.clone(),
@@ -298,6 +302,15 @@
         self.limit.saturating_sub(self.instance.clock.now())
     }
 
+    /// Time left for the first event: a caller that has none by then leaves.
+    fn left_to_start(&self, now: Duration) -> Duration {
+        let leaves = (self.arrival + self.route.patience()).saturating_sub(now);
+        match self.resumes {
+            false => self.left().min(leaves),
+            true => self.left(),
+        }
+    }
+
     /// Takes one further send from the budget, if the route allows one.
     pub(super) fn may_repeat(&self) -> bool {
         if self.runs >= self.route.attempts || self.sends >= SENDS || self.left().is_zero() {
@@ -333,7 +346,7 @@
     async fn find(&self) -> Result<Placement, GivenUp> {
         let instance = &self.instance;
         let patience = match self.route.kind {
-            RouteKind::Stream { .. } => self.left(),
+            RouteKind::Stream { .. } => self.left_to_start(instance.clock.now()),
             RouteKind::Once | RouteKind::Repeatable => {
                 (self.route.objective / QUEUE_SHARE).min(self.left() / 4)
             }
@@ -397,7 +410,7 @@
         let ask = Ask {
             aim: (self.arrival + self.route.objective).saturating_sub(now),
             gap: self.route.gap,
-            left: self.left(),
+            left: self.left_to_start(now),
             prompt: prompt.tokens as u32,
             tokens: (prompt.tokens + prompt.answer) as u32,
         };
@@ -448,6 +461,7 @@
             route = self.route.name.as_str(),
             target = target.id.as_str(),
             attempt = self.sends,
+            prompt = self.request.prompt.unwrap_or_default().tokens,
             helpers = placement.helpers.len(),
             predicted_ms = placement.wait.as_millis() as u64,
             left_ms = self.left().as_millis() as u64
@@ -544,7 +558,7 @@
             Timer::after((self.route.objective * LATE).min(limit)).await;
             return;
         }
-        let patience = (predicted * 3 + PATIENCE).min(limit);
+        let patience = self.route.patience().mul_f64(GIVE_UP).min(limit);
         let mut waited = Duration::ZERO;
         while waited < patience {
             let step = (predicted + QUIET).min(patience - waited);
