place: Send one part of a long prompt at a time to an engine

Change: an engine gets a part of a long prompt only when it is nearly free; short parts pass; what is late gives way.

--- a/src/entry/beat.rs
+++ b/src/entry/beat.rs
@@ -6,7 +6,9 @@
 /// What an instance has at one target.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Row {
-    /// Reading time that is ahead at the target, in milliseconds.
+    /// Reading time that is ahead at the target and gives way to newer work, in milliseconds.
+    pub background_ms: u32,
+    /// Other reading time that is ahead at the target, in milliseconds.
     pub backlog_ms: u32,
     /// Shortest pause between events that a request there bears, in milliseconds; 0 if there is none.
     pub gap_ms: u32,
--- a/src/entry/engine.rs
+++ b/src/entry/engine.rs
@@ -32,6 +32,11 @@
         self.load.backlog.mul_f64(self.pace)
     }
 
+    /// Reading time ahead that gives way to newer parts, in this engine's pace.
+    pub fn background(&self) -> Duration {
+        self.load.background.mul_f64(self.pace)
+    }
+
     /// Time of a pass with writers and without reading.
     pub fn pass(&self, figures: &Figures) -> Duration {
         let context = figures.context_per_k * (self.load.tokens / 1_000);
--- a/src/entry/load.rs
+++ b/src/entry/load.rs
@@ -3,7 +3,9 @@
 /// What all instances together have at one target.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Load {
-    /// Reading time that is ahead.
+    /// Reading time of requests that are late anyway. It gives way to newer parts.
+    pub background: Duration,
+    /// Other reading time that is ahead.
     pub backlog: Duration,
     /// Shortest pause between events that a request there bears.
     pub gap: Option<Duration>,
--- a/src/entry/place/together.rs
+++ b/src/entry/place/together.rs
@@ -9,19 +9,16 @@
 /// Cost of one more helper, as time: each one can fail or be late.
 const HELPER_COST: Duration = Duration::from_millis(3);
 
-/// Longest reading ahead of a part at an engine, as a share of the time that is left until the first event is late.
-/// What is beyond waits here, where the order can still change and nobody else is held up.
-const AHEAD: f64 = 0.45;
+/// Longest reading ahead at an engine that gets a part of a long prompt. Engines read the newest part first, so a part
+/// that is sent early holds up the older ones, and what is beyond waits here. The time covers two beats, so that engines
+/// do not stand idle until the news arrives that they are free.
+const AHEAD: Duration = Duration::from_millis(100);
 
-/// Share of the time left that a prompt which is late anyway may take: it gets few engines, so that others stay on
-/// time, but it must be answered before its caller leaves.
-const LATE_TIME: f64 = 0.7;
-
-/// Share of the readers that prompts which are late anyway may take.
-const LATE_ENGINES: f64 = 0.5;
+/// Share of the time left within which a prompt that is late anyway has to be read, as predicted without newer work.
+const LATE_TIME: f64 = 0.6;
 
 impl Fleet<'_> {
-    /// Places a prompt that several engines read: on time at the least harm to others, or else late on few engines.
+    /// Places a prompt that several engines read: on time, or else late behind all newer work.
     pub(super) fn together(&self) -> Choice {
         let light = self.is_light();
         if let Some(placement) = self.on_time(light) {
@@ -52,11 +49,10 @@
 
     /// The number of engines with which the prompt is read first, if that is on time.
     fn on_time(&self, light: bool) -> Option<Placement> {
-        let ahead = self.ask.aim.mul_f64(AHEAD);
         let readers: Vec<(usize, &Engine)> = self
             .readers(light)
             .into_iter()
-            .filter(|(_, engine)| engine.backlog() <= ahead)
+            .filter(|(_, engine)| light || engine.backlog() <= AHEAD)
             .collect();
         let mut best: Option<(Duration, Placement)> = None;
         for count in 1..=readers.len().min(MOST_PARTS) {
@@ -76,13 +72,24 @@
         best.map(|(_, placement)| placement)
     }
 
-    /// The smallest number of engines with which the prompt is answered before its caller leaves.
+    /// A placement on as many engines as there are, where newer parts come first.
     fn late(&self, light: bool) -> Option<Placement> {
-        let readers = self.readers(light);
-        let most = (readers.len() as f64 * LATE_ENGINES).ceil() as usize;
+        let mut readers = self.readers(light);
+        readers.sort_by_key(|(_, engine)| engine.backlog() + engine.background());
         let limit = self.ask.left.mul_f64(LATE_TIME);
-        (1..=most.min(MOST_PARTS))
-            .filter_map(|count| self.by(count, &readers, light))
+        let ahead = |engine: &Engine| engine.backlog() + engine.background();
+        let counts = (1..=readers.len().min(MOST_PARTS)).rev();
+        counts
+            .filter_map(|count| {
+                let longest = readers[..count]
+                    .iter()
+                    .map(|(_, engine)| ahead(engine))
+                    .max();
+                let mut placement = self.by(count, &readers, light)?;
+                placement.background = true;
+                placement.wait = longest.unwrap_or_default() + placement.part;
+                Some(placement)
+            })
             .find(|placement| placement.wait <= limit)
     }
 
@@ -121,12 +128,18 @@
         if helpers.len() < count - 1 {
             return None;
         }
+        let end = |engine: &Engine| match light {
+            // The newest part is read first, and a short one holds up the others by little.
+            true => self.end(engine, part).saturating_sub(engine.backlog()),
+            false => self.end(engine, part),
+        };
         let wait = helpers
             .iter()
-            .map(|engine| self.end(engine, part))
-            .fold(self.end(first, part), Duration::max);
+            .map(|engine| end(engine))
+            .fold(end(first), Duration::max);
         let (rest, helpers) = self.hold(first, &helpers)?;
         Some(Placement {
+            background: false,
             first: first.target.clone(),
             helpers,
             light,
--- a/src/entry/place/whole.rs
+++ b/src/entry/place/whole.rs
@@ -29,6 +29,7 @@
         }
         Choice::Place(Placement {
             first: engine.target.clone(),
+            background: false,
             helpers: Vec::new(),
             light: true,
             part: self.read,
@@ -45,7 +46,9 @@
                 FAR_COST
             };
             let pass = engine.pass(self.figures);
-            engine.backlog() + pass + self.read.mul_f64(engine.pace) + far
+            // Parts of prompts are read before a whole one, however long they have been waiting.
+            let ahead = engine.backlog() + engine.background();
+            ahead + pass + self.read.mul_f64(engine.pace) + far
         };
         engines
             .iter()
--- a/src/entry/serve.rs
+++ b/src/entry/serve.rs
@@ -28,6 +28,10 @@
 /// Time past the predicted first event after which a silent target is asked for a new connection: several passes.
 const QUIET: Duration = Duration::from_millis(250);
 
+/// Longest time for which memory may be set aside for a request that does not start: it counts as forgotten after nine
+/// seconds.
+const UNUSED: Duration = Duration::from_millis(7_500);
+
 /// Part of the callers' patience after which a target that accepts connections but sends nothing is given up: its
 /// connection may be silent for good. Silence of a target that works is no reason to end a request.
 pub(super) const GIVE_UP: f64 = 0.8;
@@ -398,6 +402,7 @@
                 return Choice::Wait;
             };
             return Choice::Place(Placement {
+                background: false,
                 first,
                 helpers: Vec::new(),
                 light: false,
@@ -423,6 +428,7 @@
         let target = placement.first.clone();
         let helpers = &placement.helpers;
         let number = instance.view.borrow_mut().start(Work {
+            background: placement.background,
             finish: now + placement.wait,
             first: target.key(),
             gap: self.route.gap,
@@ -466,6 +472,7 @@
             predicted_ms = placement.wait.as_millis() as u64,
             left_ms = self.left().as_millis() as u64
         );
+        let holds = !holding.reservations.is_empty();
         let call = Call {
             deadline: self.left(),
             helpers: calls,
@@ -482,7 +489,7 @@
             }
         };
         let silence = async {
-            self.silence(&target, placement.wait).await;
+            self.silence(&target, placement.wait, holds).await;
             Outcome::Failed(Failure::Silent)
         };
         or(exchange, silence).await
@@ -547,8 +554,12 @@
     }
 
     /// Ends when the target has been silent for too long.
-    async fn silence(&self, target: &Target, predicted: Duration) {
-        let limit = self.left();
+    async fn silence(&self, target: &Target, predicted: Duration, holds: bool) {
+        let limit = if holds {
+            self.left().min(UNUSED)
+        } else {
+            self.left()
+        };
         let may_repeat = self.route.kind.is_repeatable() && self.runs + 1 < self.route.attempts;
         if !may_repeat {
             Timer::after(limit).await;
--- a/src/entry/view.rs
+++ b/src/entry/view.rs
@@ -8,11 +8,13 @@
 const STALE: Duration = Duration::from_millis(2_500);
 
 /// A reading that takes longer than predicted still counts with this share of its time.
-const LEAST_AHEAD: f64 = 0.1;
+const LEAST_AHEAD: f64 = 0.25;
 
 /// A request that was sent to a target.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Work {
+    /// Whether it is late anyway, so that newer work may come first.
+    pub background: bool,
     /// Predicted time of the first event.
     pub finish: Duration,
     /// Target that the request was sent to.
@@ -128,14 +130,14 @@
             row.running += 1;
             row.light += u32::from(work.light);
             row.tokens = row.tokens.saturating_add(work.tokens);
-            row.backlog_ms += ahead;
+            row.add(ahead, work.background);
             let gap = work.gap.as_millis() as u32;
             if gap > 0 && (row.gap_ms == 0 || gap < row.gap_ms) {
                 row.gap_ms = gap;
             }
             for (helper, held) in &work.helpers {
                 let row = self::row(&mut rows, *helper);
-                row.backlog_ms += ahead;
+                row.add(ahead, work.background);
                 row.tokens = row.tokens.saturating_add(*held);
             }
         }
@@ -175,6 +177,17 @@
     }
 }
 
+impl Row {
+    fn add(&mut self, ahead: u32, background: bool) {
+        let time = if background {
+            &mut self.background_ms
+        } else {
+            &mut self.backlog_ms
+        };
+        *time = time.saturating_add(ahead);
+    }
+}
+
 fn row(rows: &mut Vec<Row>, target: TargetKey) -> &mut Row {
     let found = rows.binary_search_by_key(&target, |row| row.target);
     let at = found.unwrap_or_else(|at| {
@@ -197,6 +210,7 @@
     });
     let load = &mut loads[at].1;
     load.backlog += Duration::from_millis(u64::from(row.backlog_ms)).saturating_sub(age);
+    load.background += Duration::from_millis(u64::from(row.background_ms)).saturating_sub(age);
     load.light += row.light;
     load.running += row.running;
     load.tokens = load.tokens.saturating_add(row.tokens);
