place: Try few numbers of engines and look less often; late prompts on free engines only

Cause: requests that wait looked for a place every 15 ms and tried 17 numbers of engines each time; prompts that were late anyway took engines from those that could be on time. Change: nine numbers of engines, a look every 25 ms, the earlier share of engines for writers (0.75 of the slots), late prompts only where engines are free.

--- a/src/entry/place/mod.rs
+++ b/src/entry/place/mod.rs
@@ -14,7 +14,7 @@
 
 /// Requests with short prompts for which an engine is set aside, as a share of its slots. The rest takes what other
 /// instances send before their next beat.
-const FILL: f64 = 0.85;
+const FILL: f64 = 0.75;
 
 /// A prompt that is read within this time is read by one engine: a pass with writers takes about as long.
 const WHOLE: Duration = Duration::from_millis(60);
@@ -113,12 +113,12 @@
     fleet.together()
 }
 
-/// Number of engines for writers with short pauses. One engine in four stays for reading.
+/// Number of engines for writers with short pauses. One engine in eight stays for reading.
 fn writers(order: &[&Engine], figures: &Figures) -> usize {
     let light: u32 = order.iter().map(|engine| engine.load.light).sum();
     let each = (f64::from(figures.slots) * FILL).max(1.0);
     let needed = (f64::from(light + 2) / each).ceil() as usize + 1;
-    let readers = order.len().div_ceil(4);
+    let readers = order.len().div_ceil(8);
     needed.min(order.len().saturating_sub(readers).max(1))
 }
 
--- a/src/entry/place/together.rs
+++ b/src/entry/place/together.rs
@@ -6,6 +6,9 @@
 /// Shortest part of a prompt that is worth a helper: about one step of reading.
 const LEAST_PART: Duration = Duration::from_millis(14);
 
+/// Numbers of engines that are tried for a prompt; those between them hardly differ.
+const COUNTS: [usize; 9] = [1, 2, 3, 4, 6, 8, 11, 14, MOST_PARTS];
+
 /// Cost of one more helper, as time: each one can fail or be late.
 const HELPER_COST: Duration = Duration::from_millis(3);
 
@@ -55,7 +58,7 @@
             .filter(|(_, engine)| light || engine.backlog() <= AHEAD)
             .collect();
         let mut best: Option<(Duration, Placement)> = None;
-        for count in 1..=readers.len().min(MOST_PARTS) {
+        for count in COUNTS.into_iter().filter(|count| *count <= readers.len()) {
             let part = self.read / count as u32;
             if count > 1 && part < LEAST_PART {
                 break;
@@ -72,25 +75,16 @@
         best.map(|(_, placement)| placement)
     }
 
-    /// A placement on as many engines as there are, where newer parts come first.
+    /// A placement on as many engines as are free, where newer parts come first.
     fn late(&self, light: bool) -> Option<Placement> {
         let mut readers = self.readers(light);
-        readers.sort_by_key(|(_, engine)| engine.backlog() + engine.background());
+        readers.retain(|(_, engine)| engine.backlog() + engine.background() <= AHEAD);
         let limit = self.ask.left.mul_f64(LATE_TIME);
-        let ahead = |engine: &Engine| engine.backlog() + engine.background();
-        let counts = (1..=readers.len().min(MOST_PARTS)).rev();
-        counts
-            .filter_map(|count| {
-                let longest = readers[..count]
-                    .iter()
-                    .map(|(_, engine)| ahead(engine))
-                    .max();
-                let mut placement = self.by(count, &readers, light)?;
-                placement.background = true;
-                placement.wait = longest.unwrap_or_default() + placement.part;
-                Some(placement)
-            })
-            .find(|placement| placement.wait <= limit)
+        let placement = self.by(readers.len().min(MOST_PARTS), &readers, light)?;
+        (placement.wait <= limit).then(|| Placement {
+            background: true,
+            ..placement
+        })
     }
 
     /// Engines that may read, those with the least ahead first. A long prompt is kept away from the engines of the
@@ -111,7 +105,7 @@
 
     /// A placement on `count` of the engines.
     fn by(&self, count: usize, readers: &[(usize, &Engine)], light: bool) -> Option<Placement> {
-        let part = self.read / count as u32;
+        let part = self.read.checked_div(count as u32)?;
         let has_room = |engine: &Engine| engine.room(self.figures).is_none_or(|room| room >= part);
         let open: Vec<(usize, &Engine)> = readers
             .iter()
--- a/src/entry/serve.rs
+++ b/src/entry/serve.rs
@@ -20,7 +20,7 @@
 use super::config::Kind as RouteKind;
 
 /// Time until a request that found no place looks again; beats bring news about as often.
-const LOOK: Duration = Duration::from_millis(15);
+const LOOK: Duration = Duration::from_millis(25);
 
 /// Most sends of one request, those included that a target turned away or that never left.
 const SENDS: u32 = 6;
