--- a/src/entry/place/together.rs
+++ b/src/entry/place/together.rs
@@ -67,8 +67,13 @@
                 continue;
             };
             let cost = placement.wait + HELPER_COST * count as u32;
+            // Few engines now are worse than more of them soon, while there is time.
+            let limit = match self.ask.waited < self.ask.aim / 2 {
+                true => self.ask.aim / 2,
+                false => self.ask.aim,
+            };
             let is_better = best.as_ref().is_none_or(|(least, _)| cost < *least);
-            if placement.wait <= self.ask.aim && is_better {
+            if placement.wait <= limit && is_better {
                 best = Some((cost, placement));
             }
         }
--- a/src/entry/place/whole.rs
+++ b/src/entry/place/whole.rs
@@ -1,6 +1,6 @@
 use std::time::Duration;
 
-use super::{Choice, Fleet, Placement};
+use super::{Choice, Fleet, Placement, FILL};
 use crate::entry::Engine;
 
 /// Cost of another failure domain, as time: the path there and back.
@@ -27,6 +27,10 @@
         if wait >= self.ask.left {
             return Choice::Wait;
         }
+        if wait > self.ask.aim && !self.has_spare_slots(engine) {
+            // While slots are short, those go first that can still be on time.
+            return Choice::Wait;
+        }
         Choice::Place(Placement {
             first: engine.target.clone(),
             background: false,
@@ -38,6 +42,11 @@
         })
     }
 
+    /// Whether slots are left for requests that come soon.
+    fn has_spare_slots(&self, engine: &Engine) -> bool {
+        f64::from(engine.load.running) < f64::from(self.figures.slots) * FILL
+    }
+
     fn first_done<'a>(&self, engines: &[&'a Engine]) -> Option<(Duration, &'a Engine)> {
         let cost = |engine: &Engine| {
             let far = if engine.near {
