queue: Take the turns of waiting long prompts out again

Change: the queue and the rule against few engines are gone; chats that can be on time still go before late ones.

--- a/src/entry/beat.rs
+++ b/src/entry/beat.rs
@@ -39,9 +39,6 @@
     pub rows: Vec<Row>,
     /// Count of beats of this process, so that late datagrams are recognized.
     pub sequence: u64,
-    /// The most urgent request that waits at the sender: whether it is late anyway, and the milliseconds that it can
-    /// spare.
-    pub waiting: Option<(bool, u32)>,
     /// Targets that failed the sender lately, with the remaining time in milliseconds.
     pub suspects: Vec<(TargetKey, u32)>,
 }
--- a/src/entry/instance.rs
+++ b/src/entry/instance.rs
@@ -9,7 +9,7 @@
 use super::member::Entry;
 use super::{
     key, Budgets, Cold, Config, Directory, Engine, Fold, Health, Load, Members, Metrics, Pace,
-    Queue, Reach, Record, Service, Settings, Target, TargetKey, View,
+    Reach, Record, Service, Settings, Target, TargetKey, View,
 };
 use crate::clock::Clock;
 use crate::event;
@@ -32,7 +32,6 @@
     pub(super) pace: RefCell<Pace>,
     /// Counters and histograms.
     pub metrics: Metrics,
-    pub(super) queue: RefCell<Queue>,
     pub(super) reach: RefCell<Reach>,
     pub(super) settings: RefCell<Settings>,
     pub(super) source: Source,
@@ -76,7 +75,6 @@
             pace: RefCell::default(),
             source: Source::new(clock.clone(), &*settings.instance, &*settings.domain),
             clock,
-            queue: RefCell::default(),
             reach: RefCell::default(),
             settings: RefCell::new(settings),
             stopping: Cell::new(false),
--- a/src/entry/peer.rs
+++ b/src/entry/peer.rs
@@ -9,7 +9,7 @@
 use smol::Timer;
 
 use super::border::Topic;
-use super::{Beat, Instance, Record, Urgency};
+use super::{Beat, Instance, Record};
 use crate::event;
 use crate::id::Offset;
 
@@ -76,8 +76,6 @@
             last.sequence = 0;
             beat.rows != last.rows
                 || beat.ends != last.ends
-                || beat.waiting.is_some()
-                || beat.waiting != last.waiting
                 || beat.suspects.len() != last.suspects.len()
         };
         let is_idle = !changed && now < sent + IDLE_BEAT;
@@ -143,11 +141,6 @@
             .collect(),
         rows: instance.view.borrow().rows(now),
         sequence: 0,
-        waiting: instance
-            .queue
-            .borrow()
-            .first()
-            .map(|first| (first.late, first.spare_ms)),
         suspects: health
             .suspects(now)
             .into_iter()
@@ -193,13 +186,6 @@
         return;
     }
     instance.members.borrow_mut().hear(beat, from, now);
-    let waiting = beat
-        .waiting
-        .map(|(late, spare_ms)| Urgency { late, spare_ms });
-    instance
-        .queue
-        .borrow_mut()
-        .hear(&beat.instance, waiting, now);
     let mut pace = instance.pace.borrow_mut();
     for (target, percent) in &beat.paces {
         pace.hear(beat.incarnation, *target, f64::from(*percent) / 100.0, now);
--- a/src/entry/place/mod.rs
+++ b/src/entry/place/mod.rs
@@ -36,8 +36,6 @@
     pub prompt: u32,
     /// Tokens of context at the end.
     pub tokens: u32,
-    /// Time for which the request has been waiting here.
-    pub waited: Duration,
 }
 
 /// An engine that reads a part of a prompt.
--- a/src/entry/serve.rs
+++ b/src/entry/serve.rs
@@ -11,7 +11,7 @@
 use super::reservation::Reservation;
 use super::{
     pick, place, Answer, Ask, Choice, Content, Events, Instance, Placement, Relay, Request, Route,
-    Service, Target, TargetKey, Urgency, Work,
+    Service, Target, TargetKey, Work,
 };
 use crate::error::Kind;
 use crate::event;
@@ -39,10 +39,6 @@
 /// A repeatable request without a stream is sent again after this many objectives, if it may be.
 const LATE: u32 = 3;
 
-/// Reading time on one engine, in seconds, from which a request that waits takes its turn with those of other instances.
-/// Shorter ones hold each other up by little.
-const LONG: f64 = 0.5;
-
 /// Part of the objective that a request may wait for a place.
 const QUEUE_SHARE: u32 = 2;
 
@@ -55,34 +51,6 @@
 /// Largest body of an answer that is read whole before it is handed on, so that a broken one can be fetched anew.
 const WHOLE_BYTES: usize = 256 << 10;
 
-/// A request that waits for engines; it leaves the queue on drop.
-struct Waiting {
-    instance: Rc<Instance>,
-    number: u64,
-}
-
-impl Waiting {
-    fn new(instance: &Rc<Instance>, urgency: Urgency) -> Waiting {
-        Waiting {
-            instance: instance.clone(),
-            number: instance.queue.borrow_mut().enter(urgency),
-        }
-    }
-
-    fn is_turn(&self, urgency: Urgency, now: Duration) -> bool {
-        let me = self.instance.settings.borrow().instance.clone();
-        let mut queue = self.instance.queue.borrow_mut();
-        queue.update(self.number, urgency);
-        queue.may_go(&me, self.number, now)
-    }
-}
-
-impl Drop for Waiting {
-    fn drop(&mut self) {
-        self.instance.queue.borrow_mut().leave(self.number);
-    }
-}
-
 /// Removes a request from the view when it ends, however it ends.
 pub(super) struct Holding {
     instance: Rc<Instance>,
@@ -387,22 +355,13 @@
                 (self.route.objective / QUEUE_SHARE).min(self.left() / 4)
             }
         };
-        let since = instance.clock.now();
-        let until = since + patience;
-        let place = self
-            .is_long()
-            .then(|| Waiting::new(instance, self.urgency(since)));
+        let until = instance.clock.now() + patience;
         loop {
-            let now = instance.clock.now();
-            let is_turn = match &place {
-                Some(place) => place.is_turn(self.urgency(now), now),
-                None => true,
-            };
-            match self.choose(now - since) {
-                Choice::Place(placement) if is_turn => return Ok(placement),
+            match self.choose() {
+                Choice::Place(placement) => return Ok(placement),
                 Choice::Hopeless => break,
-                Choice::Place(_) | Choice::Wait if now >= until => break,
-                Choice::Place(_) | Choice::Wait => {}
+                Choice::Wait if instance.clock.now() >= until => break,
+                Choice::Wait => {}
             }
             Timer::after(LOOK).await;
         }
@@ -430,25 +389,7 @@
         })
     }
 
-    /// Whether the prompt is one that several engines read.
-    fn is_long(&self) -> bool {
-        let tokens = self.request.prompt.unwrap_or_default().tokens as u32;
-        let figures = self.service.figures.as_ref();
-        figures.is_some_and(|figures| figures.read(tokens) > Duration::from_secs_f64(LONG))
-    }
-
-    /// How urgent the request is while it waits.
-    fn urgency(&self, now: Duration) -> Urgency {
-        let aim = (self.arrival + self.route.objective).saturating_sub(now);
-        let late = aim.is_zero();
-        let spare = if late { self.left_to_start(now) } else { aim };
-        Urgency {
-            late,
-            spare_ms: spare.as_millis() as u32,
-        }
-    }
-
-    fn choose(&self, waited: Duration) -> Choice {
+    fn choose(&self) -> Choice {
         let instance = &self.instance;
         let mut engines = instance.engines(&self.service, &self.tried, false);
         if engines.is_empty() {
@@ -477,7 +418,6 @@
             left: self.left_to_start(now),
             prompt: prompt.tokens as u32,
             tokens: (prompt.tokens + prompt.answer) as u32,
-            waited,
         };
         place(&ask, figures, &engines, luck)
     }
