--- a/src/entry/place/together.rs
+++ b/src/entry/place/together.rs
@@ -15,7 +15,7 @@
 /// Longest reading ahead at an engine that gets a part of a long prompt. Engines read the newest part first, so a part
 /// that is sent early holds up the older ones, and what is beyond waits here. The time covers two beats, so that engines
 /// do not stand idle until the news arrives that they are free.
-const AHEAD: Duration = Duration::from_millis(60);
+const AHEAD: Duration = Duration::from_millis(100);
 
 /// Share of the time left within which a prompt that is late anyway has to be read, as predicted without newer work.
 const LATE_TIME: f64 = 0.6;
--- /dev/null
+++ b/tests/entry_events.rs
@@ -0,0 +1,71 @@
+//! Guards against streams with a gap, a repeat or half an event.
+
+use jujubehook::entry::Events;
+
+/// An event that arrives in pieces is handed on whole.
+#[test]
+fn events_stay_whole() {
+    let mut events = Events::default();
+    assert!(events.push(b"id: 1\ndata: a").unwrap().is_empty());
+    assert!(!events.is_whole());
+    let whole = events.push(b"b\n\nid: 2\n").unwrap();
+    assert_eq!(&whole[..], b"id: 1\ndata: ab\n\n");
+    assert_eq!(events.last(), Some(1));
+}
+
+/// A target that breaks off in the middle of an event leaves nothing behind for the one that goes on.
+#[test]
+fn cut_drops_half_event() {
+    let mut events = Events::after(Some(4));
+    events.push(b"id: 5\ndata: x\n\nid: 6\nda").unwrap();
+    events.cut();
+    let mut next = Events::after(events.last());
+    assert_eq!(
+        &next.push(b"id: 6\ndata: y\n\n").unwrap()[..],
+        b"id: 6\ndata: y\n\n"
+    );
+}
+
+/// A stream that skips or repeats an event, or has one without an id, is broken.
+#[test]
+fn gaps_are_errors() {
+    for bad in [
+        &b"id: 7\n\n"[..],
+        b"id: 4\n\n",
+        b"data: x\n\n",
+        b"id: x\n\n",
+    ] {
+        assert!(Events::after(Some(4)).push(bad).is_err(), "{bad:?}");
+    }
+}
+
+/// Bytes that never end an event do not fill the memory.
+#[test]
+fn endless_event_is_error() {
+    let mut events = Events::default();
+    let piece = vec![b'x'; 100_000];
+    assert!((0..4).any(|_| events.push(&piece).is_err()));
+}
+
+/// Any bytes in any pieces: events that come out are whole, in order and the same as in one piece.
+#[test]
+fn any_pieces_are_equal() {
+    bolero::check!()
+        .with_type::<(Vec<u8>, Vec<u8>)>()
+        .for_each(|(data, cuts)| {
+            let mut text: Vec<u8> = Vec::new();
+            for (number, byte) in data.iter().enumerate() {
+                text.extend(format!("id: {number}\ndata: {byte}\n\n").bytes());
+            }
+            let mut events = Events::default();
+            let mut out: Vec<u8> = Vec::new();
+            let mut rest = &text[..];
+            for cut in cuts {
+                let (piece, after) = rest.split_at(rest.len().min(usize::from(*cut)));
+                out.extend_from_slice(&events.push(piece).unwrap());
+                rest = after;
+            }
+            out.extend_from_slice(&events.push(rest).unwrap());
+            assert_eq!(out, text);
+        });
+}
--- /dev/null
+++ b/tests/entry_fixtures/mod.rs
@@ -0,0 +1,105 @@
+//! Engines with the published figures, and what tests of the entry core build from them.
+
+#![allow(dead_code)]
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use jujubehook::entry::{key, Ask, Engine, Figures, Load, Target};
+
+/// Figures of an engine that reads 154 tokens a millisecond.
+pub(crate) fn figures() -> Figures {
+    Figures {
+        chunk: 2_048,
+        context_per_k: Duration::from_nanos(2_130),
+        memory: 405_000,
+        pairs_per_m: Duration::from_micros(162),
+        read_per_s: 154_000.0,
+        slots: 16,
+        step: Duration::from_micros(1_310),
+        stride: 34,
+    }
+}
+
+pub(crate) fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+/// A ready target of the service `llm`.
+pub(crate) fn target(id: &str, domain: &str) -> Target {
+    Target {
+        address: ([127, 0, 0, 1], 8_000).into(),
+        born: None,
+        cold_until: Duration::ZERO,
+        domain: domain.into(),
+        draining: false,
+        id: id.into(),
+        service: "llm".into(),
+        slots: 16,
+    }
+}
+
+/// Idle engines in the order that all instances agree on.
+pub(crate) fn engines(count: usize) -> Vec<Engine> {
+    let mut engines: Vec<Engine> = (0..count)
+        .map(|number| {
+            let target = target(&format!("engine-{number}"), "north");
+            Engine {
+                admits: true,
+                key: target.key(),
+                load: Load::default(),
+                near: true,
+                pace: 1.0,
+                target: Rc::new(target),
+            }
+        })
+        .collect();
+    engines.sort_by_key(|engine| engine.key);
+    engines
+}
+
+/// Lets `count` chats write on an engine.
+pub(crate) fn write(engine: &mut Engine, count: u32) {
+    engine.load.running += count;
+    engine.load.light += count;
+    engine.load.tokens += 6_000 * count;
+    engine.load.gap = Some(ms(250));
+}
+
+/// A chat of 5,000 tokens.
+pub(crate) fn chat() -> Ask {
+    Ask {
+        aim: ms(300),
+        gap: ms(250),
+        left: ms(2_000),
+        prompt: 5_000,
+        tokens: 6_200,
+    }
+}
+
+/// A prompt that several engines read.
+pub(crate) fn long(prompt: u32) -> Ask {
+    Ask {
+        aim: ms(3_000),
+        gap: ms(1_000),
+        left: ms(12_000),
+        prompt,
+        tokens: prompt + 600,
+    }
+}
+
+/// A contract of 45,000 tokens.
+pub(crate) fn contract() -> Ask {
+    Ask {
+        aim: ms(1_500),
+        gap: ms(600),
+        left: ms(6_000),
+        prompt: 45_000,
+        tokens: 45_800,
+    }
+}
+
+/// The key of an id, for short.
+pub(crate) fn short(id: &str) -> u32 {
+    key(id)
+}
--- /dev/null
+++ b/tests/entry_health.rs
@@ -0,0 +1,81 @@
+//! Guards against work for targets that fail, against targets that are never used again, and against one instance's
+//! view of a cut that takes sound targets from others.
+
+mod entry_fixtures;
+
+use std::time::Duration;
+
+use entry_fixtures::ms;
+use jujubehook::entry::{Health, Pace, Reach};
+
+/// A target that answers one request in seven with an error of its own is not avoided.
+#[test]
+fn usual_errors_are_borne() {
+    let mut health = Health::default();
+    for number in 0..700 {
+        health.record(1, number % 7 != 0, ms(number));
+        assert!(!health.is_suspect(1, ms(number)), "after {number} answers");
+    }
+}
+
+/// A target that fails nearly all requests is avoided after a few, and used again later.
+#[test]
+fn failing_is_avoided() {
+    let mut health = Health::default();
+    let mut now = ms(0);
+    while !health.is_suspect(1, now) {
+        health.record(1, false, now);
+        now += ms(10);
+        assert!(now < ms(100), "not avoided");
+    }
+    assert!(!health.is_suspect(1, now + Duration::from_secs(10)));
+}
+
+/// A target that was not reached stays out until a connection is accepted.
+#[test]
+fn lost_until_reached() {
+    let mut health = Health::default();
+    health.lose(1, ms(0));
+    assert!(health.is_suspect(1, Duration::from_secs(60)));
+    health.regain(1);
+    assert!(!health.is_suspect(1, ms(1)));
+}
+
+/// What an instance heard from another is not told on: two instances would keep it alive for ever.
+#[test]
+fn hearsay_ends() {
+    let mut health = Health::default();
+    health.hear(1, ms(500), ms(0));
+    assert!(health.is_suspect(1, ms(400)));
+    assert!(health.suspects(ms(400)).is_empty());
+    assert!(!health.is_suspect(1, ms(501)));
+}
+
+/// One lost target is no cut; two of a domain are, until one of them is reached.
+#[test]
+fn two_lost_are_a_cut() {
+    let mut reach = Reach::default();
+    assert!(!reach.lose("north", 1, ms(0)));
+    assert!(!reach.lose("north", 1, ms(10)));
+    assert!(!reach.is_cut("north"));
+    assert!(reach.lose("north", 2, ms(20)));
+    assert!(reach.is_cut("north") && !reach.is_cut("south"));
+    assert!(reach.reached("north"));
+    assert!(!reach.is_cut("north"));
+}
+
+/// Reading of other requests stretches some pauses; only an engine that stretches nearly all of them is slow.
+#[test]
+fn pace_follows_low_pauses() {
+    let mut pace = Pace::default();
+    let mut now = ms(0);
+    for number in 0..200 {
+        now += ms(50);
+        let pause = if number % 2 == 0 { ms(300) } else { ms(47) };
+        pace.pause(1, pause, ms(45), now);
+        pace.pause(2, ms(225), ms(45), now);
+    }
+    assert!(pace.pace(1, now) < 1.8, "{}", pace.pace(1, now));
+    assert!(pace.pace(2, now) > 3.0, "{}", pace.pace(2, now));
+    assert_eq!(pace.pace(2, now + Duration::from_secs(4)), 1.0);
+}
--- /dev/null
+++ b/tests/entry_limits.rs
@@ -0,0 +1,98 @@
+//! Guards against limits that hold for each instance and are broken by all of them together.
+
+mod entry_fixtures;
+
+use entry_fixtures::{ms, short};
+use jujubehook::entry::{Budgets, Cold};
+
+/// What a cold target tolerates a second in these tests, and the bound that must hold over all instances.
+const COLD_PER_S: f64 = 36.0;
+const COLD_BOUND: usize = 59;
+
+fn instances(count: usize) -> Vec<String> {
+    (0..count)
+        .map(|number| format!("instance-{number}"))
+        .collect()
+}
+
+/// The shares of all instances together stay within what a cold target tolerates, for any size of the fleet.
+#[test]
+fn cold_shares_add_up() {
+    for count in [1, 3, 13, 18, 36, 37, 134, 360] {
+        let names = instances(count);
+        for target in ["a", "b", "c"] {
+            let share = |me: &String| Cold::share(short(target), COLD_PER_S, me, &names);
+            let sum: usize = names.iter().map(share).sum();
+            assert!(sum as f64 <= COLD_PER_S, "{sum} of {count} instances");
+            assert!(
+                sum > 0,
+                "a cold target of {count} instances never gets warm"
+            );
+        }
+    }
+}
+
+/// Instances that do not know of each other take larger shares. Half of the fleet unknown to the other half, one way or
+/// both, must keep the bound.
+#[test]
+fn cold_holds_with_two_views() {
+    let names = instances(18);
+    let (known, all) = (&names[..15], &names[..]);
+    let sum: usize = names
+        .iter()
+        .map(|me| {
+            let view = if known.contains(me) { known } else { all };
+            Cold::share(short("a"), COLD_PER_S, me, view)
+        })
+        .sum();
+    assert!(sum <= COLD_BOUND, "{sum}");
+}
+
+/// The share holds in every sliding second, not only from one full second to the next.
+#[test]
+fn cold_window_slides() {
+    let mut cold = Cold::default();
+    assert!(cold.has_room(1, 2, ms(900)));
+    cold.count(1, ms(900));
+    cold.count(1, ms(950));
+    assert!(!cold.has_room(1, 2, ms(1_050)));
+    assert!(!cold.has_room(1, 2, ms(1_899)));
+    assert!(cold.has_room(1, 2, ms(1_900)));
+}
+
+/// Repeats of all instances together stay within ratio and slack in every window, also when all fail at once.
+#[test]
+fn repeats_stay_in_budget() {
+    let (ratio, slack, count) = (0.2, 217.0, 13);
+    let mut spent: Vec<u64> = Vec::new();
+    let mut requests: Vec<u64> = Vec::new();
+    for instance in 0..count {
+        let mut budgets = Budgets::new(ratio, slack, ms(10_000));
+        for step in 0..3_000u64 {
+            let now = step * 10 + instance;
+            budgets.request("llm", ms(now));
+            requests.push(now);
+            while budgets.spend("llm", count as usize, ms(now)) {
+                spent.push(now);
+            }
+        }
+    }
+    for start in (0..20_000).step_by(500) {
+        let within = |times: &[u64]| {
+            let inside = times
+                .iter()
+                .filter(|at| (start..start + 10_000).contains(*at));
+            inside.count() as f64
+        };
+        let allowed = ratio * within(&requests) + slack;
+        assert!(within(&spent) <= allowed, "{} of {allowed}", within(&spent));
+    }
+}
+
+/// One service that fails does not use up the budget of another.
+#[test]
+fn budgets_are_apart() {
+    let mut budgets = Budgets::new(0.0, 10.0, ms(10_000));
+    while budgets.spend("llm", 1, ms(0)) {}
+    assert!(budgets.spend("seats", 1, ms(0)));
+}
--- /dev/null
+++ b/tests/entry_view.rs
@@ -0,0 +1,83 @@
+//! Guards against work that is counted twice, or stays after its request or its instance is gone.
+
+mod entry_fixtures;
+
+use entry_fixtures::ms;
+use jujubehook::entry::{Beat, Load, Row, View, Work};
+
+fn work(first: u32) -> Work {
+    Work {
+        background: false,
+        finish: ms(200),
+        first,
+        gap: ms(250),
+        helpers: vec![(9, 0)],
+        light: true,
+        part: ms(100),
+        start: ms(0),
+        tokens: 1_000,
+    }
+}
+
+fn beat(sequence: u64, running: u32) -> Beat {
+    Beat {
+        incarnation: 5,
+        instance: "other".into(),
+        rows: vec![Row {
+            backlog_ms: 100,
+            running,
+            target: 1,
+            ..Row::default()
+        }],
+        sequence,
+        ..Beat::default()
+    }
+}
+
+fn load(view: &View, target: u32, now: u64) -> Load {
+    let loads = view.loads(ms(now));
+    let found = loads.iter().find(|(key, _)| *key == target);
+    found.map_or(Load::default(), |(_, load)| *load)
+}
+
+/// Reading time shrinks while it is read, and is gone with the first event; the request stays until its end.
+#[test]
+fn reading_shrinks() {
+    let mut view = View::default();
+    let number = view.start(work(1));
+    assert_eq!(load(&view, 1, 0).backlog, ms(100));
+    assert_eq!(load(&view, 9, 100).backlog, ms(50));
+    assert!(
+        load(&view, 9, 5_000).backlog > ms(0),
+        "a late reading still counts"
+    );
+    view.read(number);
+    assert_eq!(load(&view, 1, 100).backlog, ms(0));
+    assert_eq!(load(&view, 1, 100).running, 1);
+    view.finish(number);
+    assert_eq!(load(&view, 1, 100), Load::default());
+}
+
+/// Datagrams overtake each other: an older one must not bring back work that is done.
+#[test]
+fn late_beat_is_ignored() {
+    let mut view = View::default();
+    assert!(view.hear(&beat(2, 1), ms(0)));
+    assert!(!view.hear(&beat(1, 7), ms(1)));
+    assert_eq!(load(&view, 1, 1).running, 1);
+    let restarted = Beat {
+        incarnation: 6,
+        ..beat(1, 3)
+    };
+    assert!(view.hear(&restarted, ms(2)));
+    assert_eq!(load(&view, 1, 2).running, 3);
+}
+
+/// The work of an instance that fell silent does not block targets for ever.
+#[test]
+fn silent_instance_is_forgotten() {
+    let mut view = View::default();
+    view.hear(&beat(1, 3), ms(0));
+    assert_eq!(load(&view, 1, 1_000).running, 3);
+    assert_eq!(load(&view, 1, 3_000), Load::default());
+}
