reservation: Release memory whose orders may still be carried out; fewer calls to the log

Ruled out: a forgotten release; it was sent, and carried out before the late renewals. Change: fewer renewals; releases go on until no order can come late any more; a request that holds memory starts within 5 s. Instances read each other's entries at the start and every 30 s instead of at each change.

--- a/src/entry/follow.rs
+++ b/src/entry/follow.rs
@@ -8,13 +8,16 @@
 use super::Instance;
 use crate::event;
 
+/// Time between two readings of the instances' entries, for those that two instances missed of each other.
+const REFRESH: Duration = Duration::from_secs(30);
+
 /// Longest time that the log holds a read open. Each call has its price; an instance whose connection fell silent
 /// learns from others' beats that it is behind, so the time may be long.
 const WAIT: Duration = Duration::from_secs(10);
 
 /// Shortest time between two reads of a topic, so that a topic that changes all the time costs few calls. It is far
 /// below the time within which a change has to be in force.
-const PAUSE: Duration = Duration::from_millis(150);
+const PAUSE: Duration = Duration::from_millis(350);
 
 /// First pause after a call that failed.
 const RETRY: Duration = Duration::from_millis(150);
@@ -24,7 +27,7 @@
 
 /// Starts to follow all topics and makes this instance known.
 pub(super) fn start(instance: &Rc<Instance>) {
-    for topic in Topic::ALL {
+    for topic in [Topic::Operator, Topic::Targets] {
         let instance = instance.clone();
         let executor = instance.executor.clone();
         executor
@@ -38,18 +41,11 @@
         .detach();
 }
 
-/// Writes the entry of this instance.
-async fn enter(instance: &Instance) {
-    let (name, entry) = {
-        let settings = instance.settings.borrow();
-        let entry = Entry {
-            address: settings.peer_address(),
-            domain: settings.domain.clone(),
-        };
-        (settings.instance.clone(), entry)
-    };
-    let value = match rmp_serde::to_vec(&entry) {
-        Ok(value) => value,
+/// Learns of the other instances and makes this one known. Afterwards beats tell of new ones, since each instance that
+/// enters sends beats to all that entered before it.
+async fn enter(instance: &Rc<Instance>) {
+    let (name, value) = match entry(instance) {
+        Ok(entry) => entry,
         Err(error) => {
             event!(
                 error,
@@ -62,22 +58,51 @@
     };
     let mut pause = RETRY;
     loop {
-        match instance.store.put(&name, &value).await {
-            Ok(()) => return count(instance, "entry", "ok"),
+        match learn(instance, &name, &value).await {
+            Ok(()) => pause = REFRESH,
             Err(trouble) => {
-                count(instance, "entry", "failed");
+                count(instance, Topic::Instances.name(), "failed");
                 event!(
                     warn,
                     instance.source,
-                    "entry_not_written",
+                    "instances_unread",
                     reason = format!("{trouble:?}")
                 );
+                pause = (pause * 2).min(RETRY_LONGEST);
             }
         }
-        pause = wait(pause).await;
+        Timer::after(pause.mul_f64(0.5 + fastrand::f64() / 2.0)).await;
+    }
+}
+
+/// Reads the entries of all instances. Writes that of this one first, if it is missing or another one, so that of two
+/// instances that enter together at least one sees the other.
+async fn learn(instance: &Rc<Instance>, name: &str, value: &[u8]) -> Result<(), Trouble> {
+    loop {
+        let batch = instance.store.newest(Topic::Instances).await?;
+        count(instance, Topic::Instances.name(), "ok");
+        instance.take(Topic::Instances, batch.records, batch.end, true);
+        let known = {
+            let folds = instance.folds.borrow();
+            folds[Topic::Instances as usize].value(name) == Some(value)
+        };
+        if known {
+            return Ok(());
+        }
+        instance.store.put(name, value).await?;
+        count(instance, "entry", "ok");
     }
 }
 
+fn entry(instance: &Instance) -> Result<(String, Vec<u8>), rmp_serde::encode::Error> {
+    let settings = instance.settings.borrow();
+    let entry = Entry {
+        address: settings.peer_address(),
+        domain: settings.domain.clone(),
+    };
+    Ok((settings.instance.clone(), rmp_serde::to_vec(&entry)?))
+}
+
 async fn run(instance: &Rc<Instance>, topic: Topic) {
     let mut pause = RETRY;
     let mut lost = false;
--- a/src/entry/instance.rs
+++ b/src/entry/instance.rs
@@ -222,6 +222,11 @@
         }
     }
 
+    /// Whether the target is still known.
+    pub(super) fn is_listed(&self, target: &Target) -> bool {
+        self.directory.borrow().target(&target.id).is_some()
+    }
+
     /// A name for memory that no other instance and no other request uses.
     pub(super) fn next_ticket(&self) -> String {
         let number = self.tickets.get() + 1;
--- a/src/entry/place/mod.rs
+++ b/src/entry/place/mod.rs
@@ -16,6 +16,9 @@
 /// instances send before their next beat.
 const FILL: f64 = 0.75;
 
+/// Requests with short prompts that may come from all instances before their next beats.
+const SURGE: u32 = 2;
+
 /// A prompt that is read within this time is read by one engine: a pass with writers takes about as long.
 const WHOLE: Duration = Duration::from_millis(60);
 
@@ -117,7 +120,7 @@
 fn writers(order: &[&Engine], figures: &Figures) -> usize {
     let light: u32 = order.iter().map(|engine| engine.load.light).sum();
     let each = (f64::from(figures.slots) * FILL).max(1.0);
-    let needed = (f64::from(light + 2) / each).ceil() as usize + 1;
+    let needed = (f64::from(light + SURGE) / each).ceil() as usize + 1;
     let readers = order.len().div_ceil(8);
     needed.min(order.len().saturating_sub(readers).max(1))
 }
--- a/src/entry/reservation.rs
+++ b/src/entry/reservation.rs
@@ -1,3 +1,4 @@
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -6,23 +7,27 @@
 use super::{Instance, Target};
 use crate::event;
 
-/// Time for which memory is set aside without a word of this instance. An instance that dies leaves nothing behind
-/// longer than this, nor does an order that is carried out late; both are far below the four seconds after which
-/// forgotten memory counts as lost.
-const HOLD: Duration = Duration::from_secs(3);
+/// Time for which memory is set aside without a word of this instance. Memory that stays for four seconds after its
+/// request ended counts as lost; an instance that dies, or an order that is carried out late, leaves it for less.
+const HOLD: Duration = Duration::from_millis(3_500);
 
-/// Time between two renewals: two of them may be lost.
-const RENEW: Duration = Duration::from_millis(900);
+/// Time between two renewals. Few are sent, because each one may be carried out after the release.
+const RENEW: Duration = Duration::from_millis(2_000);
 
-/// Times that a release is sent until it is answered; the hold ends by itself after them.
-const RELEASES: usize = 3;
+/// Pause before a renewal without an answer is sent again; three of them fit before the hold ends.
+const RENEW_AGAIN: Duration = Duration::from_millis(400);
 
-/// Pause between two of them.
-const RELEASE_PAUSE: Duration = Duration::from_millis(300);
+/// Time between two releases of memory whose orders were not all answered.
+const RELEASE_AGAIN: Duration = Duration::from_millis(1_500);
+
+/// Longest time after which an order that was not answered may still be carried out.
+const LATE_ORDER: Duration = Duration::from_millis(12_500);
 
 /// Memory that is set aside at an engine for one request; released on drop.
 pub(super) struct Reservation {
     instance: Rc<Instance>,
+    /// Time of the last order that was not answered.
+    unanswered: Rc<Cell<Option<Duration>>>,
     /// Renews the hold until it is dropped.
     _renewal: Task<()>,
     target: Rc<Target>,
@@ -41,12 +46,20 @@
             .targets
             .reserve(target, &ticket, tokens, HOLD)
             .await;
-        let renewal = renew(instance.clone(), target.clone(), ticket.clone(), tokens);
+        let unanswered = Rc::new(Cell::new((!reserved).then(|| instance.clock.now())));
+        let renewal = renew(
+            instance.clone(),
+            target.clone(),
+            ticket.clone(),
+            tokens,
+            unanswered.clone(),
+        );
         let reservation = Reservation {
             _renewal: instance.executor.spawn(renewal),
             instance: instance.clone(),
             target: target.clone(),
             ticket,
+            unanswered,
         };
         event!(
             instance.source,
@@ -71,33 +84,46 @@
         let (instance, target) = (self.instance.clone(), self.target.clone());
         let ticket = std::mem::take(&mut self.ticket);
         let executor = instance.executor.clone();
+        let unanswered = self.unanswered.clone();
         let release = async move {
-            for _ in 0..RELEASES {
-                if instance.targets.release(&target, &ticket).await {
+            loop {
+                let released = instance.targets.release(&target, &ticket).await;
+                let now = instance.clock.now();
+                if !released {
+                    unanswered.set(Some(now));
+                }
+                // An order that comes later than the release sets the memory aside again.
+                let is_done = unanswered.get().is_none_or(|at| now >= at + LATE_ORDER);
+                if released && is_done || !instance.is_listed(&target) {
                     return;
                 }
-                Timer::after(RELEASE_PAUSE).await;
+                Timer::after(RELEASE_AGAIN).await;
             }
-            event!(
-                warn,
-                instance.source,
-                "release_unanswered",
-                target = target.id.as_str(),
-                ticket = ticket.as_str()
-            );
         };
         executor.spawn(release).detach();
     }
 }
 
-async fn renew(instance: Rc<Instance>, target: Rc<Target>, ticket: String, tokens: u32) {
+async fn renew(
+    instance: Rc<Instance>,
+    target: Rc<Target>,
+    ticket: String,
+    tokens: u32,
+    unanswered: Rc<Cell<Option<Duration>>>,
+) {
+    let mut pause = RENEW;
     loop {
-        Timer::after(RENEW).await;
-        if !instance
+        Timer::after(pause).await;
+        // Until the answer arrives the order counts as unanswered: this task may end before.
+        let before = unanswered.replace(Some(instance.clock.now()));
+        if instance
             .targets
             .reserve(&target, &ticket, tokens, HOLD)
             .await
         {
+            unanswered.set(before);
+            pause = RENEW;
+        } else {
             event!(
                 warn,
                 instance.source,
@@ -105,6 +131,7 @@
                 target = target.id.as_str(),
                 ticket = ticket.as_str()
             );
+            pause = RENEW_AGAIN;
         }
     }
 }
--- a/src/entry/serve.rs
+++ b/src/entry/serve.rs
@@ -29,8 +29,8 @@
 const QUIET: Duration = Duration::from_millis(250);
 
 /// Longest time for which memory may be set aside for a request that does not start: it counts as forgotten after nine
-/// seconds.
-const UNUSED: Duration = Duration::from_millis(7_500);
+/// seconds, and the last hold may outlive the request by three and a half.
+const UNUSED: Duration = Duration::from_millis(5_000);
 
 /// Part of the callers' patience after which a target that accepts connections but sends nothing is given up: its
 /// connection may be silent for good. Silence of a target that works is no reason to end a request.
