--- a/src/entry/place/together.rs
+++ b/src/entry/place/together.rs
@@ -77,8 +77,11 @@
 
     /// A placement on as many engines as are free, where newer parts come first.
     fn late(&self, light: bool) -> Option<Placement> {
-        let mut readers = self.readers(light);
-        readers.retain(|(_, engine)| engine.backlog() + engine.background() <= AHEAD);
+        let readers = self.readers(light);
+        let is_free = |engine: &Engine| engine.backlog() + engine.background() <= AHEAD;
+        if !readers.iter().all(|(_, engine)| is_free(engine)) {
+            return None;
+        }
         let limit = self.ask.left.mul_f64(LATE_TIME);
         let placement = self.by(readers.len().min(MOST_PARTS), &readers, light)?;
         (placement.wait <= limit).then(|| Placement {
