entry: Learn of other instances with bounded calls to the log

Cause: a store that answers with state from some seconds ago never shows the entry that was just written, so the task that enters an instance read and wrote in a loop without a pause.

--- a/src/entry/follow.rs
+++ b/src/entry/follow.rs
@@ -78,20 +78,24 @@
 /// Reads the entries of all instances. Writes that of this one first, if it is missing or another one, so that of two
 /// instances that enter together at least one sees the other.
 async fn learn(instance: &Rc<Instance>, name: &str, value: &[u8]) -> Result<(), Trouble> {
-    loop {
-        let batch = instance.store.newest(Topic::Instances).await?;
-        count(instance, Topic::Instances.name(), "ok");
-        instance.take(Topic::Instances, batch.records, batch.end, true);
-        let known = {
-            let folds = instance.folds.borrow();
-            folds[Topic::Instances as usize].value(name) == Some(value)
-        };
-        if known {
-            return Ok(());
-        }
-        instance.store.put(name, value).await?;
-        count(instance, "entry", "ok");
+    read_instances(instance).await?;
+    let is_known = {
+        let folds = instance.folds.borrow();
+        folds[Topic::Instances as usize].value(name) == Some(value)
+    };
+    if is_known {
+        return Ok(());
     }
+    instance.store.put(name, value).await?;
+    count(instance, "entry", "ok");
+    read_instances(instance).await
+}
+
+async fn read_instances(instance: &Instance) -> Result<(), Trouble> {
+    let batch = instance.store.newest(Topic::Instances).await?;
+    count(instance, Topic::Instances.name(), "ok");
+    instance.take(Topic::Instances, batch.records, batch.end, true);
+    Ok(())
 }
 
 fn entry(instance: &Instance) -> Result<(String, Vec<u8>), rmp_serde::encode::Error> {
--- a/src/entry/place/together.rs
+++ b/src/entry/place/together.rs
@@ -84,7 +84,7 @@
         }
         let limit = self.ask.left.mul_f64(LATE_TIME);
         let placement = self.by(readers.len().min(MOST_PARTS), &readers, light)?;
-        (placement.wait <= limit).then(|| Placement {
+        (placement.wait <= limit).then_some(Placement {
             background: true,
             ..placement
         })
--- /dev/null
+++ b/tests/entry_metrics.rs
@@ -0,0 +1,22 @@
+//! Guards against metrics that the page of an entry instance does not list, and the other way round.
+
+use std::collections::BTreeSet;
+
+use jujubehook::entry::Metrics;
+
+const LIST: &str = include_str!("../docs/metrics-entry.md");
+
+#[test]
+fn entry_names_are_listed() {
+    let metrics = Metrics::new().unwrap();
+    metrics.first.with_label_values(&["stream"]).observe(0.1);
+    metrics.requests.with_label_values(&["stream", "ok"]).inc();
+    metrics.sends.with_label_values(&["opened"]).inc();
+    metrics.store.with_label_values(&["operator", "ok"]).inc();
+    let page = String::from_utf8(metrics.text()).unwrap();
+    let types = page.lines().filter_map(|line| line.strip_prefix("# TYPE "));
+    let names: BTreeSet<&str> = types.filter_map(|line| line.split(' ').next()).collect();
+    let listed = LIST.lines().filter_map(|line| line.strip_prefix("| `"));
+    let listed: BTreeSet<&str> = listed.filter_map(|line| line.split('`').next()).collect();
+    assert_eq!(names, listed);
+}
