cold: Limit sends to targets that may turn cold without a word

Cause: the bound on cold targets also holds for one that turned cold at a moment of its own choice, and the shares applied only to targets whose entry said so. Ruled out: asking targets for their state; each question has its price and the answer comes too late. Change: every target of a service that knows cold ones gets at most an equal share of nine tenths of the bound from each instance, also while it looks warm. A caller is held for one objective at each try; unused settings and fields are gone.

--- a/src/entry/cold.rs
+++ b/src/entry/cold.rs
@@ -8,6 +8,9 @@
 /// The bound on a cold target counts requests within any second.
 const WINDOW: Duration = Duration::from_secs(1);
 
+/// Part of the bound that is used for targets that may turn cold; the rest covers instances that are not known yet.
+const USED: f64 = 0.9;
+
 /// Sends to cold targets, limited so that all instances together keep the bound without a word between them.
 ///
 /// An instance takes an equal part of what the target tolerates. Where there are more instances than requests a second,
@@ -32,6 +35,13 @@
         usize::from(before < tolerated)
     }
 
+    /// How many requests a second this instance may send to a target that is not known to be cold, but may turn cold
+    /// without a word. `bound` holds for all instances together; in a fleet of more instances than that each one may
+    /// still send one, since the slots of a target are then the tighter limit.
+    pub fn silent_share(bound: f64, instances: usize) -> usize {
+        (bound * USED / instances.max(1) as f64).max(1.0) as usize
+    }
+
     /// Whether one more request may be sent now, with `share` allowed a second.
     pub fn has_room(&self, target: TargetKey, share: usize, now: Duration) -> bool {
         let found = self.sent.binary_search_by_key(&target, |(key, _)| *key);
--- a/src/entry/config.rs
+++ b/src/entry/config.rs
@@ -113,8 +113,6 @@
 /// How the engines of a service work; the figures come with the configuration.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Figures {
-    /// Most prompt tokens read in one step.
-    pub chunk: u32,
     /// Added to a step for each 1,000 tokens of context of each writer.
     pub context_per_k: Duration,
     /// Tokens of context that fit into the memory of an engine.
@@ -153,8 +151,6 @@
     pub cold_per_s: f64,
     /// How its engines work; none for a plain service.
     pub figures: Option<Figures>,
-    /// Connections that a target accepts from all callers.
-    pub most_connections: u32,
     /// Name in records and routes.
     pub name: String,
 }
@@ -177,8 +173,6 @@
     pub body: usize,
     /// Most bytes of a request line and headers.
     pub header: usize,
-    /// Longest time until the headers are complete.
-    pub header_time: Duration,
     /// Longest time that a connection may stay idle.
     pub idle: Duration,
 }
@@ -188,7 +182,6 @@
         Limits {
             body: 4 << 20,
             header: 16 << 10,
-            header_time: Duration::from_secs(3),
             idle: Duration::from_secs(15),
         }
     }
--- a/src/entry/instance.rs
+++ b/src/entry/instance.rs
@@ -171,11 +171,12 @@
             }
             let found = loads.binary_search_by_key(&key, |(known, _)| *known);
             let load = found.map_or(Load::default(), |at| loads[at].1);
-            let warm = service.cold_per_s <= 0.0 || target.cold_until <= now;
-            let admits = warm || {
-                let share = Cold::share(key, service.cold_per_s, &settings.instance, &names);
-                self.cold.borrow().has_room(key, share, now)
+            let share = match target.cold_until <= now {
+                true => Cold::silent_share(settings.cold_bound(service.cold_per_s), names.len()),
+                false => Cold::share(key, service.cold_per_s, &settings.instance, &names),
             };
+            let can_be_cold = service.cold_per_s > 0.0;
+            let admits = !can_be_cold || self.cold.borrow().has_room(key, share, now);
             engines.push(Engine {
                 admits,
                 key,
--- a/src/entry/serve.rs
+++ b/src/entry/serve.rs
@@ -42,9 +42,6 @@
 /// Part of the objective that a request may wait for a place.
 const QUEUE_SHARE: u32 = 2;
 
-/// Share of the route's time that a caller has left at its first try at least.
-const FIRST_TRY: f64 = 0.85;
-
 /// When a caller that found no place may come back: about as long as a short answer takes to make room.
 const COME_BACK: Duration = Duration::from_millis(700);
 
@@ -353,9 +350,8 @@
     async fn find(&self) -> Result<Placement, GivenUp> {
         let instance = &self.instance;
         let patience = match self.route.kind {
-            RouteKind::Stream { .. } if self.comes_again() => {
-                self.left_to_start(instance.clock.now())
-            }
+            // A caller that has events already cannot be told to come back.
+            RouteKind::Stream { .. } if self.resumes => self.left(),
             RouteKind::Stream { .. } => self
                 .left_to_start(instance.clock.now())
                 .min(self.route.objective),
@@ -397,13 +393,6 @@
         })
     }
 
-    /// Whether the caller was refused before, or lost its connection: much of its time is gone already. It is held as
-    /// long as there is hope, since it has no other try.
-    fn comes_again(&self) -> bool {
-        let time = self.limit.saturating_sub(self.arrival);
-        self.resumes || time < self.route.timeout.mul_f64(FIRST_TRY)
-    }
-
     fn choose(&self) -> Choice {
         let instance = &self.instance;
         let mut engines = instance.engines(&self.service, &self.tried, false);
--- a/src/entry/settings.rs
+++ b/src/entry/settings.rs
@@ -12,10 +12,12 @@
     pub budget_slack: f64,
     /// Window in which the two hold.
     pub budget_window: Duration,
+    /// Factor of what a cold target tolerates that all instances together may send.
+    pub cold_overage: f64,
+    /// Requests a second that all instances may send to a cold target besides.
+    pub cold_slack: f64,
     /// Failure domain.
     pub domain: DomainId,
-    /// Time between the order to stop and the end of the process.
-    pub grace: Duration,
     /// Name.
     pub instance: InstanceId,
     /// Address of this instance.
@@ -32,8 +34,9 @@
             budget_ratio: 0.2,
             budget_slack: 100.0,
             budget_window: Duration::from_secs(10),
+            cold_overage: 1.5,
+            cold_slack: 5.0,
             domain: "local".into(),
-            grace: Duration::from_secs(8),
             instance: "local-1".into(),
             ip: IpAddr::from([127, 0, 0, 1]),
             peer_port: 7340,
@@ -43,6 +46,11 @@
 }
 
 impl Settings {
+    /// Requests a second that all instances together may send to a cold target that tolerates `per_s`.
+    pub fn cold_bound(&self, per_s: f64) -> f64 {
+        per_s * self.cold_overage + self.cold_slack
+    }
+
     /// Address for other instances.
     pub fn peer_address(&self) -> SocketAddr {
         SocketAddr::new(self.ip, self.peer_port)
--- a/tests/entry_fixtures/mod.rs
+++ b/tests/entry_fixtures/mod.rs
@@ -10,7 +10,6 @@
 /// Figures of an engine that reads 154 tokens a millisecond.
 pub(crate) fn figures() -> Figures {
     Figures {
-        chunk: 2_048,
         context_per_k: Duration::from_nanos(2_130),
         memory: 405_000,
         pairs_per_m: Duration::from_micros(162),
--- a/tests/entry_limits.rs
+++ b/tests/entry_limits.rs
@@ -32,6 +32,16 @@
     }
 }
 
+/// A target that turns cold without a word gets no more than a cold one tolerates, as long as there are not more
+/// instances than requests.
+#[test]
+fn silent_cold_keeps_bound() {
+    for count in 1..=53 {
+        let sum = Cold::silent_share(COLD_BOUND as f64, count) * count;
+        assert!(sum <= COLD_BOUND, "{sum} of {count} instances");
+    }
+}
+
 /// Instances that do not know of each other take larger shares. Half of the fleet unknown to the other half, one way or
 /// both, must keep the bound.
 #[test]
