timeline: Read lines that a collector prefixed; say why a request found no place

Ruled out: a second tool for them; only the text before the first key differs. Change: `--prefixed`; beats carry logical time, so that lines of all instances have one order; `no_place` says which targets were known, how many were full and how much was ahead of them.

--- a/src/command/timeline/lines.rs
+++ b/src/command/timeline/lines.rs
@@ -4,21 +4,37 @@
 use crate::command::Error;
 use crate::event::Line;
 
-/// Reads all files; returns the lines in order and a report of each malformed line.
-pub(super) fn read(files: &[PathBuf]) -> Result<(Vec<Line>, Vec<String>), Error> {
+/// First key of every line.
+const START: &[u8] = b"ts=";
+
+/// Reads all files; returns the lines in order and a report of each malformed line. Where lines are `prefixed`, what is
+/// before their first key is dropped, and lines without one are passed over: a collector of logs wrote them.
+pub(super) fn read(files: &[PathBuf], prefixed: bool) -> Result<(Vec<Line>, Vec<String>), Error> {
     let mut lines = Vec::new();
     let mut malformed = Vec::new();
     for file in files {
         let bytes = fs::read(file)
             .map_err(|error| Error::Failed(format!("cannot read `{}`: {error}", file.display())))?;
-        collect(file, &bytes, &mut lines, &mut malformed);
+        collect(file, &bytes, prefixed, &mut lines, &mut malformed);
     }
     lines.sort();
     Ok((lines, malformed))
 }
 
-fn collect(file: &Path, bytes: &[u8], lines: &mut Vec<Line>, malformed: &mut Vec<String>) {
+fn collect(
+    file: &Path,
+    bytes: &[u8],
+    prefixed: bool,
+    lines: &mut Vec<Line>,
+    malformed: &mut Vec<String>,
+) {
     for (index, bytes) in bytes.split(|&byte| byte == b'\n').enumerate() {
+        let start = bytes.windows(START.len()).position(|part| part == START);
+        let bytes = match (prefixed, start) {
+            (false, _) => bytes,
+            (true, Some(start)) => &bytes[start..],
+            (true, None) => continue,
+        };
         if bytes.trim_ascii().is_empty() {
             continue;
         }
--- a/src/command/timeline/mod.rs
+++ b/src/command/timeline/mod.rs
@@ -23,6 +23,8 @@
 Options:
   --domain NAME   only events logged in this failure domain
   --json          print one JSON object a line
+  --prefixed      drop what a collector of logs put before each line, and lines
+                  that are its own
   --request ID    only events of this request (16 hexadecimal digits)
   --svg FILE      also write a picture: one row per instance, arrows between
                   the hops of a request
@@ -40,13 +42,14 @@
     files: Vec<PathBuf>,
     filter: Filter,
     json: bool,
+    prefixed: bool,
     svg: Option<PathBuf>,
 }
 
 /// Runs `jujubehook timeline`.
 pub(super) fn run(parser: &mut lexopt::Parser) -> Result<(), Error> {
     let options = parse(parser)?;
-    let (all, malformed) = lines::read(&options.files)?;
+    let (all, malformed) = lines::read(&options.files, options.prefixed)?;
     for report in &malformed {
         output::warn(report);
     }
@@ -78,6 +81,7 @@
             Long("domain") => options.filter.domain = Some(parser.value()?.string()?),
             Short('h') | Long("help") => return Err(Error::Help),
             Long("json") => options.json = true,
+            Long("prefixed") => options.prefixed = true,
             Long("request") => options.filter.request = Some(request(&parser.value()?.string()?)?),
             Long("svg") => options.svg = Some(parser.value()?.into()),
             Long("target") => options.filter.target = Some(parser.value()?.string()?),
--- a/src/entry/beat.rs
+++ b/src/entry/beat.rs
@@ -39,6 +39,8 @@
     pub rows: Vec<Row>,
     /// Count of beats of this process, so that late datagrams are recognized.
     pub sequence: u64,
+    /// Logical time of the sender, so that event lines of different instances can be put in order.
+    pub time: u64,
     /// Targets that failed the sender lately, with the remaining time in milliseconds.
     pub suspects: Vec<(TargetKey, u32)>,
 }
--- a/src/entry/peer.rs
+++ b/src/entry/peer.rs
@@ -85,6 +85,7 @@
         let all = now >= sent + IDLE_BEAT || sequence % 8 == 0;
         sequence += 1;
         beat.sequence = sequence;
+        beat.time = instance.clock.tick();
         let Ok(bytes) = rmp_serde::to_vec(&beat) else {
             event!(error, instance.source, "beat_unwritable");
             continue;
@@ -141,6 +142,7 @@
             .collect(),
         rows: instance.view.borrow().rows(now),
         sequence: 0,
+        time: 0,
         suspects: health
             .suspects(now)
             .into_iter()
@@ -182,6 +184,7 @@
 
 fn hear(instance: &Instance, beat: &Beat, from: SocketAddr) {
     let now = instance.clock.now();
+    instance.clock.merge(beat.time);
     if !instance.view.borrow_mut().hear(beat, now) {
         return;
     }
--- a/src/entry/serve.rs
+++ b/src/entry/serve.rs
@@ -10,8 +10,8 @@
 use super::border::{Body, Call, Failure, Reply};
 use super::reservation::Reservation;
 use super::{
-    pick, place, Answer, Ask, Choice, Content, Events, Instance, Placement, Relay, Request, Route,
-    Service, Target, TargetKey, Work,
+    pick, place, Answer, Ask, Choice, Content, Engine, Events, Instance, Placement, Relay, Request,
+    Route, Service, Target, TargetKey, Work,
 };
 use crate::error::Kind;
 use crate::event;
@@ -359,7 +359,8 @@
                 (self.route.objective / QUEUE_SHARE).min(self.left() / 4)
             }
         };
-        let until = instance.clock.now() + patience;
+        let since = instance.clock.now();
+        let until = since + patience;
         loop {
             match self.choose() {
                 Choice::Place(placement) => return Ok(placement),
@@ -369,13 +370,27 @@
             }
             Timer::after(LOOK).await;
         }
-        let has_targets = {
-            let directory = instance.directory.borrow();
-            !directory
-                .usable(&self.service.name, instance.clock.now())
-                .is_empty()
-        };
-        let (kind, retry) = if has_targets {
+        let engines = instance.engines(&self.service, &[], true);
+        let full = |engine: &Engine| engine.load.running >= engine.target.slots;
+        event!(
+            instance.source,
+            "no_place",
+            request = self.request.id.as_str(),
+            route = self.route.name.as_str(),
+            version = instance.config().map(|config| config.version),
+            waited_ms = (instance.clock.now() - since).as_millis() as u64,
+            targets = engines.len(),
+            full = engines.iter().filter(|engine| full(engine)).count(),
+            least_backlog_ms = engines
+                .iter()
+                .map(|engine| engine.load.backlog.as_millis() as u64)
+                .min(),
+            running = engines
+                .iter()
+                .map(|engine| engine.load.running)
+                .sum::<u32>()
+        );
+        let (kind, retry) = if !engines.is_empty() {
             (Kind::Overloaded, COME_BACK)
         } else {
             (Kind::Unavailable, COME_BACK_LATER)
--- a/tests/timeline_merge.rs
+++ b/tests/timeline_merge.rs
@@ -136,3 +136,20 @@
         assert!(err.contains(message), "{arguments:?}: {err}");
     }
 }
+
+/// A collector of logs writes time and process before each line, and lines of its own.
+#[test]
+fn prefixed_lines() {
+    let collected = format!(
+        "built in 0.1 s\n   0.5 host-1 {}\n\nseen\n",
+        FIRST.lines().next().unwrap()
+    );
+    let case = Case::new(&[("all.log", collected.as_bytes())]);
+    let (code, out, _) = case.run(&["--json", "--prefixed", "all.log"]);
+    assert_eq!(
+        (code, events(&out)),
+        (Some(0), vec!["i1 receive".to_owned()])
+    );
+    let (code, _, _) = case.run(&["--json", "all.log"]);
+    assert_eq!(code, Some(1));
+}
