run: Refuse callers that come long after SIGTERM

When few instances of a domain are ready, the balancer sends callers to those that are not, so they come until the end. Ruled out: the closing of idle connections; the request was read whole and answered in part. `serve` is split into files by step, without a change of behaviour.

--- a/src/entry/instance.rs
+++ b/src/entry/instance.rs
@@ -35,6 +35,7 @@
     pub(super) reach: RefCell<Reach>,
     pub(super) settings: RefCell<Settings>,
     pub(super) source: Source,
+    refusing: Cell<bool>,
     stopping: Cell<bool>,
     tickets: Cell<u64>,
     pub(super) store: Rc<dyn Store>,
@@ -77,6 +78,7 @@
             clock,
             reach: RefCell::default(),
             settings: RefCell::new(settings),
+            refusing: Cell::new(false),
             stopping: Cell::new(false),
             tickets: Cell::new(0),
             store,
@@ -106,6 +108,17 @@
         event!(self.source, "stopping", requests = self.view.borrow().own());
     }
 
+    /// Refuses callers from now on: the process may end before they have their answers.
+    pub fn refuse(&self) {
+        self.refusing.set(true);
+        event!(self.source, "refusing", requests = self.view.borrow().own());
+    }
+
+    /// Whether callers are refused because the process is about to end.
+    pub(super) fn is_refusing(&self) -> bool {
+        self.refusing.get()
+    }
+
     /// Takes settings that changed; the address and the ports stay as they were.
     pub fn reload(&self, settings: Settings) {
         *self.settings.borrow_mut() = settings;
--- /dev/null
+++ b/src/entry/serve/learn.rs
@@ -0,0 +1,69 @@
+use std::time::Duration;
+
+use super::outcome::Outcome;
+use super::Exchange;
+use crate::entry::border::Failure;
+use crate::entry::{Health, Target};
+use crate::event;
+
+impl Exchange {
+    /// Takes from an outcome what it says about the target.
+    pub(super) fn learn(&self, target: &Target, outcome: &Outcome, took: Duration) {
+        let instance = &self.instance;
+        let now = instance.clock.now();
+        let key = target.key();
+        let name = {
+            let mut health = instance.health.borrow_mut();
+            match outcome {
+                Outcome::Opened(_) => {
+                    health.record(key, true, now);
+                    "opened"
+                }
+                Outcome::Answered(whole) => {
+                    health.record(key, !whole.status.is_server_error(), now);
+                    "answered"
+                }
+                Outcome::Failed(Failure::Unreachable) => "unreachable",
+                Outcome::Failed(Failure::Silent) if self.left().is_zero() => "silent",
+                Outcome::Failed(failure) => {
+                    health.record(key, false, now);
+                    failure.name()
+                }
+                Outcome::NoMemory => "no_memory",
+                Outcome::NotRun(fault) => {
+                    self.blame(&mut health, fault.as_deref(), now);
+                    "not_run"
+                }
+            }
+        };
+        match outcome {
+            Outcome::Failed(Failure::Unreachable) => instance.lost(target),
+            Outcome::Opened(_) | Outcome::Answered(_) => instance.reached(target),
+            Outcome::Failed(_) | Outcome::NoMemory | Outcome::NotRun(_) => {}
+        }
+        instance.metrics.sends.with_label_values(&[name]).inc();
+        event!(
+            instance.source,
+            "sent",
+            request = self.request.id.as_str(),
+            target = target.id.as_str(),
+            attempt = self.sends,
+            outcome = name,
+            ms = took.as_millis() as u64
+        );
+    }
+
+    /// Avoids a target that another one names as the cause of its failure.
+    fn blame(&self, health: &mut Health, fault: Option<&str>, now: Duration) {
+        let Some(fault) = fault else {
+            return;
+        };
+        let directory = self.instance.directory.borrow();
+        let named = directory
+            .targets()
+            .find(|target| target.id == fault || target.address.to_string() == fault);
+        if let Some(target) = named {
+            health.avoid(target.key(), now);
+        }
+    }
+}
--- /dev/null
+++ b/src/entry/serve/mod.rs
@@ -0,0 +1,309 @@
+//! The life of a caller's request: admitted, placed, sent, answered or given up.
+
+mod find;
+mod holding;
+mod learn;
+mod outcome;
+mod send;
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use smol::Timer;
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::border::Failure;
+use super::config::Kind as RouteKind;
+use super::{Answer, Content, Instance, Relay, Request, Route, Service, TargetKey};
+use crate::error::Kind;
+use crate::event;
+use crate::id::WorkspaceId;
+
+pub(super) use holding::Holding;
+pub(super) use outcome::Opened;
+use outcome::{GivenUp, Outcome, Whole};
+
+/// Time until a request that found no place looks again; beats bring news about as often.
+const LOOK: Duration = Duration::from_millis(25);
+
+/// Most sends of one request, those included that a target turned away or that never left.
+const SENDS: u32 = 6;
+
+/// Part of the callers' patience after which a target that accepts connections but sends nothing is given up: its
+/// connection may be silent for good. Silence of a target that works is no reason to end a request.
+pub(super) const GIVE_UP: f64 = 0.8;
+
+/// When a caller that found no place may come back: about as long as a short answer takes to make room.
+const COME_BACK: Duration = Duration::from_millis(700);
+
+/// When a caller may come back while this instance knows no configuration or no target.
+const COME_BACK_LATER: Duration = Duration::from_secs(1);
+
+/// One request of a caller on its way.
+pub(super) struct Exchange {
+    pub(super) arrival: Duration,
+    pub(super) instance: Rc<Instance>,
+    /// Time at which the caller or the route gives up.
+    pub(super) limit: Duration,
+    rank: u8,
+    pub(super) request: Rc<Request>,
+    pub(super) route: Rc<Route>,
+    /// Whether the caller has events already.
+    pub(super) resumes: bool,
+    /// Sends after which the request may have run on a target that still lives.
+    runs: u32,
+    sends: u32,
+    pub(super) service: Rc<Service>,
+    tried: Vec<TargetKey>,
+    workspace: Option<WorkspaceId>,
+}
+
+impl Instance {
+    /// Starts to follow the log and to exchange beats with other instances.
+    ///
+    /// # Errors
+    /// Fails if the address for other instances cannot be bound.
+    pub async fn start(self: &Rc<Self>) -> std::io::Result<()> {
+        super::peer::start(self).await?;
+        super::follow::start(self);
+        let probe = super::probe::run(self.clone());
+        self.executor.spawn(probe).detach();
+        event!(
+            self.source,
+            "started",
+            incarnation = event::hex(self.incarnation)
+        );
+        Ok(())
+    }
+
+    /// Serves a request of a caller. Dropping the future ends the request.
+    pub async fn serve(self: &Rc<Self>, request: Request) -> Answer {
+        let arrival = self.clock.now();
+        let request = Rc::new(request);
+        let mut exchange = match self.admit(&request, arrival) {
+            Ok(exchange) => exchange,
+            Err((kind, retry)) => {
+                self.finish("none", &request.id, arrival, kind.name());
+                return Answer::Refusal { kind, retry };
+            }
+        };
+        let kind = exchange.route.kind.name();
+        let opened = exchange.open(request.resume).await;
+        let first = self.clock.now().saturating_sub(arrival).as_secs_f64();
+        self.metrics.first.with_label_values(&[kind]).observe(first);
+        match opened {
+            Ok(Ok(opened)) => {
+                let (status, headers) = (opened.status, opened.headers.clone());
+                let relay = Relay::new(exchange, opened);
+                Answer::Reply {
+                    content: Content::Passing(Box::new(relay)),
+                    headers,
+                    status,
+                }
+            }
+            Ok(Err(whole)) => {
+                self.finish(kind, &request.id, arrival, whole.status.as_str());
+                whole.into()
+            }
+            Err(given_up) => {
+                self.finish(kind, &request.id, arrival, given_up.kind.name());
+                match given_up.answered {
+                    Some(whole) => whole.into(),
+                    None => Answer::Refusal {
+                        kind: given_up.kind,
+                        retry: given_up.retry,
+                    },
+                }
+            }
+        }
+    }
+
+    /// Counts and logs the end of a request.
+    pub(super) fn finish(&self, kind: &str, id: &str, arrival: Duration, outcome: &str) {
+        self.metrics
+            .requests
+            .with_label_values(&[kind, outcome])
+            .inc();
+        let took = self.clock.now().saturating_sub(arrival);
+        event!(
+            self.source,
+            "request_end",
+            request = id,
+            kind = kind,
+            outcome = outcome,
+            ms = took.as_millis() as u64
+        );
+    }
+
+    /// Looks up route, workspace and service.
+    fn admit(
+        self: &Rc<Self>,
+        request: &Rc<Request>,
+        arrival: Duration,
+    ) -> Result<Exchange, (Kind, Option<Duration>)> {
+        if self.is_refusing() {
+            return Err((Kind::Unavailable, Some(COME_BACK)));
+        }
+        let Some(config) = self.config() else {
+            return Err((Kind::Unavailable, Some(COME_BACK_LATER)));
+        };
+        let Some(route) = config.route(&request.host, &request.path) else {
+            return Err((Kind::UnknownService, None));
+        };
+        let known = request.key.as_deref().and_then(|key| config.workspace(key));
+        if config.has_workspaces() && !route.anonymous && known.is_none() {
+            return Err((Kind::Unauthorized, None));
+        }
+        let hash = xxh3_64(request.id.as_bytes());
+        let service = route.service(hash).and_then(|name| config.service(name));
+        let Some(service) = service else {
+            return Err((Kind::Unavailable, Some(COME_BACK_LATER)));
+        };
+        let left = request.deadline.unwrap_or(route.timeout).min(route.timeout);
+        self.budgets.borrow_mut().request(&service.name, arrival);
+        Ok(Exchange {
+            arrival,
+            instance: self.clone(),
+            limit: arrival + left,
+            rank: known.and_then(|known| known.rank).unwrap_or(route.rank),
+            request: request.clone(),
+            route: route.clone(),
+            resumes: false,
+            runs: 0,
+            sends: 0,
+            service: service.clone(),
+            tried: Vec::new(),
+            workspace: known.map(|known| known.name.clone()),
+        })
+    }
+}
+
+impl Exchange {
+    /// Sends the request until a target answers. A stream goes on after the event `resume`.
+    pub(super) async fn open(
+        &mut self,
+        resume: Option<u64>,
+    ) -> Result<Result<Opened, Whole>, GivenUp> {
+        let mut answered = None;
+        loop {
+            let placement = match self.find().await {
+                Ok(placement) => placement,
+                Err(mut given_up) => {
+                    given_up.answered = answered;
+                    return Err(given_up);
+                }
+            };
+            let (target, key) = (placement.first.clone(), placement.first.key());
+            self.sends += 1;
+            self.tried.push(key);
+            let started = self.instance.clock.now();
+            let outcome = self.send(placement, resume).await;
+            let took = self.instance.clock.now().saturating_sub(started);
+            self.learn(&target, &outcome, took);
+            match outcome {
+                Outcome::Opened(opened) => return Ok(Ok(opened)),
+                Outcome::Answered(whole) => {
+                    self.runs += 1;
+                    let is_final = !whole.status.is_server_error();
+                    if is_final || !self.route.kind.is_repeatable() || resume.is_some() {
+                        return Ok(Err(whole));
+                    }
+                    answered = Some(whole);
+                }
+                Outcome::Failed(failure) if failure.may_have_run() => {
+                    self.runs += 1;
+                    if !self.route.kind.is_repeatable() {
+                        return Err(self.unknown(failure));
+                    }
+                }
+                Outcome::NoMemory => {
+                    self.tried.pop();
+                    Timer::after(LOOK).await;
+                    if self.sends < SENDS && !self.left().is_zero() {
+                        continue;
+                    }
+                }
+                Outcome::Failed(_) | Outcome::NotRun(_) => {}
+            }
+            if !self.may_repeat() {
+                let mut given_up = self.out_of_tries();
+                given_up.answered = answered;
+                return Err(given_up);
+            }
+        }
+    }
+
+    /// Time left.
+    pub(super) fn left(&self) -> Duration {
+        self.limit.saturating_sub(self.instance.clock.now())
+    }
+
+    /// Time left for the first event: a caller that has none by then leaves.
+    fn left_to_start(&self, now: Duration) -> Duration {
+        let leaves = (self.arrival + self.route.patience()).saturating_sub(now);
+        match self.resumes {
+            false => self.left().min(leaves),
+            true => self.left(),
+        }
+    }
+
+    /// Takes one further send from the budget, if the route allows one.
+    pub(super) fn may_repeat(&self) -> bool {
+        if self.runs >= self.route.attempts || self.sends >= SENDS || self.left().is_zero() {
+            return false;
+        }
+        let instance = &self.instance;
+        let now = instance.clock.now();
+        let instances = instance.instances();
+        let mut budgets = instance.budgets.borrow_mut();
+        let has_budget = budgets.spend(&self.service.name, instances, now);
+        if !has_budget {
+            event!(
+                instance.source,
+                "budget_empty",
+                request = self.request.id.as_str(),
+                service = self.service.name.as_str()
+            );
+        }
+        has_budget
+    }
+
+    /// Notes that the target of the last send ended, so that it does not count as one that runs the request.
+    pub(super) fn forget_run(&mut self) {
+        self.runs = self.runs.saturating_sub(1);
+    }
+
+    /// Notes that a stream was opened and broke.
+    pub(super) fn count_run(&mut self) {
+        self.runs += 1;
+    }
+
+    /// The end of a request that must not be repeated and may have run.
+    fn unknown(&self, failure: Failure) -> GivenUp {
+        let is_late = failure == Failure::Silent || self.left().is_zero();
+        let kind = if is_late {
+            Kind::DeadlineExceeded
+        } else {
+            Kind::OutcomeUnknown
+        };
+        GivenUp {
+            answered: None,
+            kind,
+            retry: None,
+        }
+    }
+
+    fn out_of_tries(&self) -> GivenUp {
+        let kind = match (self.runs, self.left().is_zero()) {
+            (0, true) => Kind::DeadlineRefused,
+            (0, false) => Kind::Overloaded,
+            (_, true) => Kind::DeadlineExceeded,
+            (_, false) => Kind::UpstreamFailed,
+        };
+        GivenUp {
+            answered: None,
+            kind,
+            retry: (self.runs == 0).then_some(COME_BACK),
+        }
+    }
+}
