stop: Move the order of a graceful stop into the core

Cause: `platform/` only translates, but it decided when callers are refused and when the process ends. Found on the last read of the change. Change: `Instance::stop` holds the steps and their times; the adapter closes connections and counts them.

--- a/src/entry/instance.rs
+++ b/src/entry/instance.rs
@@ -35,8 +35,8 @@
     pub(super) reach: RefCell<Reach>,
     pub(super) settings: RefCell<Settings>,
     pub(super) source: Source,
-    refusing: Cell<bool>,
-    stopping: Cell<bool>,
+    pub(super) refusing: Cell<bool>,
+    pub(super) stopping: Cell<bool>,
     tickets: Cell<u64>,
     pub(super) store: Rc<dyn Store>,
     pub(super) targets: Rc<dyn Targets>,
@@ -102,18 +102,6 @@
         self.stopping.get()
     }
 
-    /// Notes that the process was told to stop.
-    pub fn stop(&self) {
-        self.stopping.set(true);
-        event!(self.source, "stopping", requests = self.view.borrow().own());
-    }
-
-    /// Refuses callers from now on: the process may end before they have their answers.
-    pub fn refuse(&self) {
-        self.refusing.set(true);
-        event!(self.source, "refusing", requests = self.view.borrow().own());
-    }
-
     /// Whether callers are refused because the process is about to end.
     pub(super) fn is_refusing(&self) -> bool {
         self.refusing.get()
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -32,6 +32,7 @@
 mod reservation;
 mod serve;
 mod settings;
+mod stop;
 mod view;
 
 pub use answer::{Answer, Content};
