--- a/src/entry/pace.rs
+++ b/src/entry/pace.rs
@@ -53,19 +53,6 @@
         }
     }
 
-    /// Takes a pace that the engine itself reports.
-    pub fn report(&mut self, target: TargetKey, pace: f64, now: Duration) {
-        let sample = Sample {
-            at: now,
-            pace: pace.clamp(1.0, MOST),
-        };
-        let found = self.own.binary_search_by_key(&target, |(key, _)| *key);
-        match found {
-            Ok(at) => self.own[at].1 = sample,
-            Err(at) => self.own.insert(at, (target, sample)),
-        }
-    }
-
     /// Takes what another instance measured.
     pub fn hear(&mut self, instance: u64, target: TargetKey, pace: f64, now: Duration) {
         let sample = Sample {
@@ -101,16 +88,6 @@
         sum / f64::from(count)
     }
 
-    /// Whether anything was measured lately, here or elsewhere.
-    pub fn is_known(&self, target: TargetKey, now: Duration) -> bool {
-        let from = self.others.partition_point(|((key, _), _)| *key < target);
-        let other = self.others[from..]
-            .iter()
-            .take_while(|((key, _), _)| *key == target)
-            .any(|(_, sample)| now < sample.at + FRESH);
-        other || self.own(now).any(|(key, _)| key == target)
-    }
-
     /// What this instance measured lately.
     pub fn own(&self, now: Duration) -> impl Iterator<Item = (TargetKey, f64)> + '_ {
         self.own
--- a/src/entry/peer.rs
+++ b/src/entry/peer.rs
@@ -1,3 +1,4 @@
+use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -257,6 +258,11 @@
         write(&mut stream, fetch).await?;
         read(&mut stream).await
     };
+    limited(exchange).await
+}
+
+/// Ends an exchange that takes too long.
+async fn limited<T>(exchange: impl Future<Output = io::Result<T>>) -> io::Result<T> {
     let limit = async {
         Timer::after(FETCH_LIMIT).await;
         Err(io::ErrorKind::TimedOut.into())
@@ -312,11 +318,7 @@
         };
         write(&mut stream, &fetched).await
     };
-    let limit = async {
-        Timer::after(FETCH_LIMIT).await;
-        Err(io::ErrorKind::TimedOut.into())
-    };
-    futures_lite::future::or(exchange, limit).await
+    limited(exchange).await
 }
 
 async fn read<T: DeserializeOwned>(stream: &mut TcpStream) -> io::Result<T> {
