slot: Lock ownership before the queue

Its logs show the cause: the instance that was told to stop wrote nothing from one millisecond on, neither heartbeats nor dispatches, while two peers asked it for its targets. `Slot::pump` locked the queue of a target and then the ownership table; the answer to a peer's request for a grant locks the table and then the queue, to count what is in flight. Two threads in that order wait for each other for good, and so does every request of the instance. Ruled out: the earlier suspicion, a gained target whose first reading was given up: in the failed run the new owner had read its targets 0.1 s after it got them, and the requests waited at the instance that stood still. Change: the pump locks ownership first and keeps it until it has dispatched, so that a grant misses no dispatch either.

--- a/src/daemon/serve/slot.rs
+++ b/src/daemon/serve/slot.rs
@@ -149,15 +149,18 @@
 
     /// Dispatches everything that may go out now.
     pub(crate) fn pump(&self, state: &State) {
-        let now = state.clock.now();
+        // Ownership is locked before the queue, as when a grant counts what is in flight: two threads that take the two
+        // in different orders wait for each other for good. It stays locked, so that no grant misses a dispatch.
+        let owner = lock(&state.owner);
         let mut inner = lock(&self.inner);
+        let now = state.clock.now();
         for attempt in inner.scheduler.expire(now) {
             inner.tell(attempt, Turn::Expired);
         }
-        if !state.may_dispatch(&self.target) {
+        if !state.in_service(&self.target) {
             return;
         }
-        if state.owned() && !inner.checked {
+        if state.owned() && !(inner.checked && owner.may_dispatch(&self.target, now)) {
             return;
         }
         while let Some(dispatch) = inner.scheduler.next(now) {
--- a/tests/cluster/mod.rs
+++ b/tests/cluster/mod.rs
@@ -17,7 +17,7 @@
 use smol::Timer;
 
 pub use load::Load;
-pub use running::{caller_key, Asked, Running};
+pub use running::{caller_key, Asked, Running, PEER_KEY};
 pub use sale::Sale;
 
 pub const MODEL: &str = "resin";
--- a/tests/cluster/running.rs
+++ b/tests/cluster/running.rs
@@ -22,7 +22,8 @@
 
 const ANSWER_LIMIT: usize = 16 << 20;
 const DOMAINS: [&str; 4] = ["north", "south", "west", "east"];
-const PEER_KEY: &str = "peer key of a test cluster";
+/// Key that the instances have in common.
+pub const PEER_KEY: &str = "peer key of a test cluster";
 const READY_LIMIT: Duration = Duration::from_secs(20);
 const WORKSPACE_KEY: &str = "key-0";
 
