fold: Pass on the whole state where removals may be unknown

Instance `edge-flores-a-6` started just after the removal and read the whole state, which does not tell what was removed. Six others that were still behind fetched from it what came since, got one record instead of two, and took the end of the transfer as their own: the removal never reached them. Ruled out: the store's order (the instances that read from the store themselves have both records), and slow reading (the transfer came within 300 ms). Change: a fold knows from which position on it has every removal. A transfer from before that position carries the whole state, and says so. A whole state no longer carries removals, whose positions may be older than the last one of their key; a key that came and went again between two whole states is removed at the newer one.

--- a/src/entry/fold.rs
+++ b/src/entry/fold.rs
@@ -19,10 +19,12 @@
 /// The newest records of a topic, whatever way they arrive: a key never goes back to an older value.
 #[derive(Clone, Debug, Default)]
 pub struct Fold {
+    /// Position from which on every removal is among the records. A whole state does not tell what was removed before.
+    complete: Offset,
     end: Offset,
+    known: bool,
     /// Sorted by key.
     records: Vec<Record>,
-    known: bool,
 }
 
 impl Fold {
@@ -66,38 +68,43 @@
     /// Takes a whole state that was read at `end`: keys that it lacks are removed. A state that is older than what is
     /// known removes nothing, since the keys may have come later. Returns the records that changed.
     pub fn replace(&mut self, state: Vec<Record>, end: Offset) -> Vec<Record> {
+        let before = self.end;
         let mut changed = Vec::new();
-        if end >= self.end {
-            let gone: Vec<String> = self
-                .records
-                .iter()
-                .filter(|known| known.value.is_some())
-                .filter(|known| !state.iter().any(|record| record.key == known.key))
-                .map(|known| known.key.clone())
-                .collect();
-            for key in gone {
-                let removal = Record {
-                    key,
-                    offset: end.saturating_sub(1),
-                    value: None,
-                };
-                changed.extend(self.apply(removal).cloned());
+        if end >= before {
+            for known in &mut self.records {
+                if state.iter().any(|record| record.key == known.key) {
+                    continue;
+                }
+                // What was removed may have come and gone again since.
+                known.offset = known.offset.max(end.saturating_sub(1));
+                if known.value.take().is_some() {
+                    changed.push(known.clone());
+                }
             }
         }
         for record in state {
             changed.extend(self.apply(record).cloned());
         }
+        if !self.known || end > before {
+            self.complete = self.complete.max(end);
+        }
         self.reach(end);
         changed
     }
 
-    /// The newest records from `from` on, removals too.
-    pub fn since(&self, from: Offset) -> Vec<Record> {
-        self.records
-            .iter()
-            .filter(|record| record.offset >= from)
-            .cloned()
-            .collect()
+    /// The newest records from `from` on, removals too; none if removals since then may be unknown here.
+    pub fn since(&self, from: Offset) -> Option<Vec<Record>> {
+        if from < self.complete {
+            return None;
+        }
+        let records = self.records.iter().filter(|record| record.offset >= from);
+        Some(records.cloned().collect())
+    }
+
+    /// The newest record of each key that has a value.
+    pub fn state(&self) -> Vec<Record> {
+        let records = self.records.iter().filter(|record| record.value.is_some());
+        records.cloned().collect()
     }
 
     /// The value of a key.
@@ -120,6 +127,7 @@
         }
         removed.sort_unstable();
         let first = removed[removed.len() - REMOVALS];
+        self.complete = self.complete.max(first);
         self.records
             .retain(|record| record.value.is_some() || record.offset >= first);
     }
--- a/src/entry/peer.rs
+++ b/src/entry/peer.rs
@@ -48,6 +48,8 @@
 struct Fetched {
     end: Offset,
     records: Vec<Record>,
+    /// Whether the records are the whole state: keys that it lacks were removed.
+    whole: bool,
 }
 
 /// Starts the exchange with other instances.
@@ -233,9 +235,10 @@
                         from = member.instance.as_str(),
                         before = end,
                         end = fetched.end,
-                        records = fetched.records.len()
+                        records = fetched.records.len(),
+                        whole = fetched.whole
                     );
-                    instance.take(topic, fetched.records, fetched.end, from == 0);
+                    instance.take(topic, fetched.records, fetched.end, fetched.whole);
                 }
                 Err(error) => {
                     event!(
@@ -311,9 +314,11 @@
             if !fold.is_known() {
                 return Err(io::ErrorKind::NotFound.into());
             }
+            let since = fold.since(fetch.from);
             Fetched {
                 end: fold.end(),
-                records: fold.since(fetch.from),
+                whole: since.is_none(),
+                records: since.unwrap_or_else(|| fold.state()),
             }
         };
         write(&mut stream, &fetched).await
--- a/tests/entry_fold.rs
+++ b/tests/entry_fold.rs
@@ -52,5 +52,115 @@
     fold.apply(record("a", 4, None));
     assert!(fold.apply(record("a", 1, Some("1"))).is_none());
     assert_eq!(fold.value("a"), None);
-    assert_eq!(fold.since(0), vec![record("a", 4, None)]);
+    assert_eq!(fold.since(0), Some(vec![record("a", 4, None)]));
+}
+
+/// An instance that starts after a removal knows nothing of it: what it passes on must not leave the removed key with
+/// an instance that has seen the value.
+#[test]
+fn late_starter_passes_removals_on() {
+    let mut early = Fold::default();
+    early.replace(
+        vec![record("a", 1, Some("1")), record("b", 2, Some("2"))],
+        3,
+    );
+    // `a` is removed at position 3, and `c` comes at 4.
+    let mut late = Fold::default();
+    late.replace(vec![record("b", 2, Some("2"))], 4);
+    late.apply(record("c", 4, Some("3")));
+    late.reach(5);
+    assert_eq!(late.since(early.end()), None);
+    early.replace(late.state(), late.end());
+    assert_eq!(early.value("a"), None);
+    assert!(early.value("c").is_some());
+}
+
+/// Removals that were forgotten cannot be passed on either.
+#[test]
+fn forgotten_removals_are_not_skipped() {
+    let mut fold = Fold::default();
+    let removals = 5_000;
+    for offset in 0..removals {
+        fold.apply(record(&offset.to_string(), offset, None));
+    }
+    fold.reach(removals);
+    assert_eq!(fold.since(0), None);
+    let last = fold.since(removals - 1).expect("the last removal");
+    assert_eq!(last.len(), 1);
+}
+
+/// Whatever mix of reads from the log, starts and transfers between instances: each holds exactly what the log held at
+/// the position that it states. Guards against removals that are lost on the way.
+#[test]
+fn any_way_agrees() {
+    bolero::check!()
+        .with_type::<Vec<(u8, u8)>>()
+        .for_each(|steps| {
+            let mut log: Vec<Record> = Vec::new();
+            let mut folds = vec![Fold::default(); 3];
+            for &(act, by) in steps {
+                let at = usize::from(by) % folds.len();
+                match act % 8 {
+                    0..=2 => log.push(written(&log, by)),
+                    3 | 4 if folds[at].is_known() => {
+                        let from = folds[at].end() as usize;
+                        for record in &log[from..] {
+                            folds[at].apply(record.clone());
+                        }
+                        folds[at].reach(log.len() as u64);
+                    }
+                    3..=5 => {
+                        folds[at] = Fold::default();
+                        let state = held(&log, log.len());
+                        folds[at].replace(state, log.len() as u64);
+                    }
+                    _ => pass_on(&mut folds, at, usize::from(by / 16) % 3),
+                }
+                for fold in folds.iter().filter(|fold| fold.is_known()) {
+                    let state = held(&log, fold.end() as usize);
+                    for key in ["a", "b", "c"] {
+                        let record = state.iter().find(|record| record.key == key);
+                        let value = record.and_then(|record| record.value.as_deref());
+                        assert_eq!(fold.value(key), value, "`{key}` at {}", fold.end());
+                    }
+                }
+            }
+        });
+}
+
+/// The next record of the log: a new value of a key, or its removal.
+fn written(log: &[Record], by: u8) -> Record {
+    let key = ["a", "b", "c"][usize::from(by) % 3];
+    let value = (by / 3).is_multiple_of(2).then(|| log.len().to_string());
+    record(key, log.len() as u64, value.as_deref())
+}
+
+/// What the first `end` records of the log amount to, without removed keys.
+fn held(log: &[Record], end: usize) -> Vec<Record> {
+    let newest = |key: &str| log[..end].iter().rfind(|record| record.key == key).cloned();
+    let records = ["a", "b", "c"].into_iter().filter_map(newest);
+    records.filter(|record| record.value.is_some()).collect()
+}
+
+/// The instance `to` takes from `from` what it lacks.
+fn pass_on(folds: &mut [Fold], to: usize, from: usize) {
+    if !folds[from].is_known() || folds[from].end() <= folds[to].end() {
+        return;
+    }
+    let (giver, end) = (folds[from].clone(), folds[from].end());
+    let start = match folds[to].is_known() {
+        true => folds[to].end(),
+        false => 0,
+    };
+    match giver.since(start) {
+        Some(records) => {
+            for record in records {
+                folds[to].apply(record);
+            }
+            folds[to].reach(end);
+        }
+        None => {
+            folds[to].replace(giver.state(), end);
+        }
+    }
 }
