view: Let instances claim engines before they read long prompts

Their `send` lines show three instances that chose the same engines within 10 ms: all that wait look at the same beats, and see at the same time that engines are free. An engine then had 4 s to read, newest first, and the oldest part starved. What an engine had ahead was also computed wrongly: each instance let its own parts shrink at the same time, though an engine reads one after the other. Change: beats carry the prompts that are read, with their age, and those read lately. What is left at an engine follows from when its parts came (`Backlog`). A long prompt's choice is told at once and stands after 10 ms if no other instance chose some of the same engines with a lower rank (`View::gives_way`).

--- a/src/entry/beat.rs
+++ b/src/entry/beat.rs
@@ -6,10 +6,6 @@
 /// What an instance has at one target.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Row {
-    /// Reading time that is ahead at the target and gives way to newer work, in milliseconds.
-    pub background_ms: u32,
-    /// Other reading time that is ahead at the target, in milliseconds.
-    pub backlog_ms: u32,
     /// Shortest pause between events that a request there bears, in milliseconds; 0 if there is none.
     pub gap_ms: u32,
     /// Requests with short prompts.
@@ -22,6 +18,25 @@
     pub tokens: u32,
 }
 
+/// A prompt that targets read, in one part each.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Reading {
+    /// Time since it was sent, in milliseconds.
+    pub age_ms: u32,
+    /// Whether the request is late anyway, so that newer work may come first.
+    pub background: bool,
+    /// Number of the request at its instance.
+    pub number: u64,
+    /// Reading time of each part, in milliseconds.
+    pub part_ms: u32,
+    /// Of two prompts that were given the same targets at the same time, the one with the lower rank goes first.
+    pub rank: u32,
+    /// Whether all parts were read: it still tells what its targets did meanwhile.
+    pub read: bool,
+    /// The targets.
+    pub targets: Vec<TargetKey>,
+}
+
 /// One datagram between instances: what the sender has at which targets and what it knows.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Beat {
@@ -35,6 +50,8 @@
     pub instance: InstanceId,
     /// Paces of engines that the sender measured lately, in percent.
     pub paces: Vec<(TargetKey, u32)>,
+    /// Prompts that targets read for it, and those that were read lately.
+    pub readings: Vec<Reading>,
     /// Its work, sorted by target.
     pub rows: Vec<Row>,
     /// Count of beats of this process, so that late datagrams are recognized.
@@ -44,3 +61,17 @@
     /// Targets that failed the sender lately, with the remaining time in milliseconds.
     pub suspects: Vec<(TargetKey, u32)>,
 }
+
+impl Beat {
+    /// Whether it tells others nothing that the beat `before` has not told.
+    pub fn repeats(&self, before: &Beat) -> bool {
+        let unread = |beat: &Beat| -> Vec<u64> {
+            let readings = beat.readings.iter().filter(|reading| !reading.read);
+            readings.map(|reading| reading.number).collect()
+        };
+        self.rows == before.rows
+            && self.ends == before.ends
+            && self.suspects.len() == before.suspects.len()
+            && unread(self) == unread(before)
+    }
+}
--- a/src/entry/instance.rs
+++ b/src/entry/instance.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use async_channel::{Receiver, Sender};
 use smol::LocalExecutor;
 
 use super::border::{Decoder, Order, Store, Targets, Topic};
@@ -27,6 +28,7 @@
     pub(super) executor: Rc<LocalExecutor<'static>>,
     pub(super) folds: RefCell<[Fold; 3]>,
     pub(super) health: RefCell<Health>,
+    hurry: (Sender<()>, Receiver<()>),
     pub(super) incarnation: Incarnation,
     pub(super) members: RefCell<Members>,
     pub(super) pace: RefCell<Pace>,
@@ -70,6 +72,7 @@
             executor,
             folds: RefCell::default(),
             health: RefCell::default(),
+            hurry: async_channel::bounded(1),
             incarnation: fastrand::u64(1..),
             members: RefCell::new(Members::new(&*settings.instance)),
             metrics: Metrics::new()?,
@@ -92,6 +95,18 @@
         self.config.borrow().clone()
     }
 
+    /// Makes the next beat go out at once.
+    pub(super) fn hurry(&self) {
+        // A full channel means that one is about to go out anyway.
+        let _ = self.hurry.0.try_send(());
+    }
+
+    /// Waits until a beat has to go out at once.
+    pub(super) async fn hurried(&self) {
+        // The sender lives as long as the instance, so that the channel is never closed.
+        let _ = self.hurry.1.recv().await;
+    }
+
     /// Whether callers may be sent here: a configuration is in force, and the process does not stop.
     pub fn is_ready(&self) -> bool {
         !self.stopping.get() && self.config.borrow().is_some() && self.knows(Topic::Targets)
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -6,6 +6,7 @@
 //! without a socket. `docs/notes/platform.md` describes the parts and what each does when another one fails.
 
 mod answer;
+mod backlog;
 mod beat;
 pub mod border;
 mod budgets;
@@ -36,7 +37,8 @@
 mod view;
 
 pub use answer::{Answer, Content};
-pub use beat::{Beat, Row};
+pub use backlog::Backlog;
+pub use beat::{Beat, Reading, Row};
 pub use budgets::Budgets;
 pub use cold::Cold;
 pub use config::{Config, Figures, Kind, Limits, Route, Service, Workspace};
--- a/src/entry/peer.rs
+++ b/src/entry/peer.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use futures_lite::future::or;
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
 use serde::{de::DeserializeOwned, Deserialize, Serialize};
 use smol::net::{TcpListener, TcpStream, UdpSocket};
@@ -71,17 +72,14 @@
     let mut sequence = 0;
     loop {
         let others = instance.members.borrow().list().len() as u32;
-        Timer::after(BEAT + BEAT_EACH * others).await;
+        let pause = async {
+            Timer::after(BEAT + BEAT_EACH * others).await;
+        };
+        or(pause, instance.hurried()).await;
         let now = instance.clock.now();
         instance.expire(now);
         let mut beat = beat(&instance, now);
-        let changed = {
-            last.sequence = 0;
-            beat.rows != last.rows
-                || beat.ends != last.ends
-                || beat.suspects.len() != last.suspects.len()
-        };
-        let is_idle = !changed && now < sent + IDLE_BEAT;
+        let is_idle = beat.repeats(&last) && now < sent + IDLE_BEAT;
         if is_idle {
             continue;
         }
@@ -143,7 +141,8 @@
             .own(now)
             .map(|(target, pace)| (target, (pace * 100.0) as u32))
             .collect(),
-        rows: instance.view.borrow().rows(now),
+        readings: instance.view.borrow().readings(now),
+        rows: instance.view.borrow().rows(),
         sequence: 0,
         time: 0,
         suspects: health
@@ -270,7 +269,7 @@
         Timer::after(FETCH_LIMIT).await;
         Err(io::ErrorKind::TimedOut.into())
     };
-    futures_lite::future::or(exchange, limit).await
+    or(exchange, limit).await
 }
 
 async fn serve(instance: Rc<Instance>, listener: TcpListener) {
--- a/src/entry/serve/find.rs
+++ b/src/entry/serve/find.rs
@@ -3,17 +3,20 @@
 use smol::Timer;
 
 use super::outcome::GivenUp;
-use super::{Exchange, RouteKind, COME_BACK, COME_BACK_LATER, LOOK};
-use crate::entry::{pick, place, Ask, Choice, Engine, Placement};
+use super::{Exchange, Holding, RouteKind, COME_BACK, COME_BACK_LATER, LOOK};
+use crate::entry::{pick, place, Ask, Choice, Engine, Placement, Work};
 use crate::error::Kind;
 use crate::event;
 
+/// Time within which a choice of engines becomes known to all instances: several times the way between two domains.
+const KNOWN: Duration = Duration::from_millis(10);
+
 /// Part of the objective that a request may wait for a place.
 const QUEUE_SHARE: u32 = 2;
 
 impl Exchange {
     /// Finds a place, and waits for one for a part of the objective.
-    pub(super) async fn find(&self) -> Result<Placement, GivenUp> {
+    pub(super) async fn find(&self) -> Result<(Placement, Holding), GivenUp> {
         let instance = &self.instance;
         let patience = match self.route.kind {
             // A caller that has events already cannot be told to come back.
@@ -29,7 +32,11 @@
         let until = since + patience;
         loop {
             match self.choose() {
-                Choice::Place(placement) => return Ok(placement),
+                Choice::Place(placement) => {
+                    if let Some(holding) = self.claim(&placement).await {
+                        return Ok((placement, holding));
+                    }
+                }
                 Choice::Hopeless => break,
                 Choice::Wait if instance.clock.now() >= until => break,
                 Choice::Wait => {}
@@ -74,6 +81,49 @@
         })
     }
 
+    /// Tells other instances what is to be read where; none if another's choice goes first. All that wait for an engine
+    /// see at once that it is free, and a part that is sent to an engine with others has to wait for all of them.
+    async fn claim(&self, placement: &Placement) -> Option<Holding> {
+        let instance = &self.instance;
+        let helpers = placement.helpers.iter();
+        let number = instance.view.borrow_mut().start(Work {
+            background: placement.background,
+            first: placement.first.key(),
+            gap: self.route.gap,
+            helpers: helpers
+                .map(|helper| (helper.target.key(), helper.hold))
+                .collect(),
+            light: placement.light,
+            part: placement.part,
+            rank: fastrand::u32(..),
+            start: instance.clock.now(),
+            tokens: placement.rest,
+        });
+        let holding = Holding {
+            instance: instance.clone(),
+            number,
+            reservations: Vec::new(),
+        };
+        if placement.light || placement.part.is_zero() {
+            return Some(holding);
+        }
+        instance.hurry();
+        Timer::after(KNOWN).await;
+        if !instance.view.borrow().gives_way(number, KNOWN) {
+            return Some(holding);
+        }
+        event!(
+            instance.source,
+            "gave_way",
+            request = self.request.id.as_str(),
+            target = placement.first.id.as_str(),
+            part_ms = placement.part.as_millis() as u64
+        );
+        drop(holding);
+        instance.hurry();
+        None
+    }
+
     fn choose(&self) -> Choice {
         let instance = &self.instance;
         let mut engines = instance.engines(&self.service, &self.tried, false);
--- a/src/entry/serve/mod.rs
+++ b/src/entry/serve/mod.rs
@@ -186,8 +186,8 @@
     ) -> Result<Result<Opened, Whole>, GivenUp> {
         let mut answered = None;
         loop {
-            let placement = match self.find().await {
-                Ok(placement) => placement,
+            let (placement, holding) = match self.find().await {
+                Ok(found) => found,
                 Err(mut given_up) => {
                     given_up.answered = answered;
                     return Err(given_up);
@@ -197,7 +197,7 @@
             self.sends += 1;
             self.tried.push(key);
             let started = self.instance.clock.now();
-            let outcome = self.send(placement, resume).await;
+            let outcome = self.send(placement, holding, resume).await;
             let took = self.instance.clock.now().saturating_sub(started);
             self.learn(&target, &outcome, took);
             match outcome {
--- a/src/entry/serve/send.rs
+++ b/src/entry/serve/send.rs
@@ -10,7 +10,7 @@
 use super::{Exchange, Holding, RouteKind, GIVE_UP};
 use crate::entry::border::{Call, Failure, Reply};
 use crate::entry::reservation::Reservation;
-use crate::entry::{Events, Placement, Target, Work};
+use crate::entry::{Events, Helper, Placement, Target};
 use crate::event;
 
 /// Time past the predicted first event after which a silent target is asked for a new connection: several passes.
@@ -26,31 +26,26 @@
 /// Largest body of an answer that is read whole before it is handed on, so that a broken one can be fetched anew.
 const WHOLE_BYTES: usize = 256 << 10;
 
+/// The targets that read a part, for the log: each of them can be the one that holds a prompt up.
+fn names(helpers: &[Helper]) -> String {
+    let names: Vec<&str> = helpers
+        .iter()
+        .map(|helper| helper.target.id.as_str())
+        .collect();
+    names.join(",")
+}
+
 impl Exchange {
-    pub(super) async fn send(&self, placement: Placement, resume: Option<u64>) -> Outcome {
+    pub(super) async fn send(
+        &self,
+        placement: Placement,
+        mut holding: Holding,
+        resume: Option<u64>,
+    ) -> Outcome {
         let instance = &self.instance;
         let now = instance.clock.now();
         let target = placement.first.clone();
         let helpers = &placement.helpers;
-        let number = instance.view.borrow_mut().start(Work {
-            background: placement.background,
-            finish: now + placement.wait,
-            first: target.key(),
-            gap: self.route.gap,
-            helpers: helpers
-                .iter()
-                .map(|helper| (helper.target.key(), helper.hold))
-                .collect(),
-            light: placement.light,
-            part: placement.part,
-            start: now,
-            tokens: placement.rest,
-        });
-        let mut holding = Holding {
-            instance: instance.clone(),
-            number,
-            reservations: Vec::new(),
-        };
         let mut calls = Vec::with_capacity(helpers.len());
         for helper in helpers {
             let mut ticket = None;
@@ -73,7 +68,9 @@
             target = target.id.as_str(),
             attempt = self.sends,
             prompt = self.request.prompt.unwrap_or_default().tokens,
-            helpers = placement.helpers.len(),
+            helpers = names(helpers),
+            part_ms = placement.part.as_millis() as u64,
+            late = placement.background,
             predicted_ms = placement.wait.as_millis() as u64,
             left_ms = self.left().as_millis() as u64
         );
--- a/src/entry/view.rs
+++ b/src/entry/view.rs
@@ -1,22 +1,27 @@
 use std::time::Duration;
 
-use super::{Beat, Load, Row, TargetKey};
+use super::{Backlog, Beat, Load, Reading, Row, TargetKey};
 use crate::id::{Incarnation, InstanceId};
 
 /// Age at which an instance's rows are dropped: several beats of the slowest rate were lost, so the instance is gone or
 /// cut off.
 const STALE: Duration = Duration::from_millis(2_500);
 
-/// A reading that takes longer than predicted still counts with this share of its time.
-const LEAST_AHEAD: f64 = 0.25;
+/// Time for which a long prompt that was read is remembered: while engines read its parts, others had to wait there. It
+/// covers the longest objective of a first event.
+const KEPT: Duration = Duration::from_secs(3);
+
+/// The same for a prompt with short parts, which hold up others by little; beats stay small.
+const KEPT_SHORT: Duration = Duration::from_millis(400);
+
+/// Longest reading time of a short part.
+const SHORT: Duration = Duration::from_millis(60);
 
 /// A request that was sent to a target.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Work {
     /// Whether it is late anyway, so that newer work may come first.
     pub background: bool,
-    /// Predicted time of the first event.
-    pub finish: Duration,
     /// Target that the request was sent to.
     pub first: TargetKey,
     /// Longest pause between events that it bears; zero without a stream.
@@ -27,7 +32,9 @@
     pub light: bool,
     /// Reading time of each part.
     pub part: Duration,
-    /// Time at which it was sent.
+    /// Drawn at random; the lower one goes first where two instances choose the same targets at the same time.
+    pub rank: u32,
+    /// Time at which its targets were chosen.
     pub start: Duration,
     /// Tokens of context at the first target.
     pub tokens: u32,
@@ -41,20 +48,48 @@
     own: Vec<Item>,
     /// Sorted by instance.
     peers: Vec<Peer>,
+    /// Own prompts that are read, or were read lately, sorted by number.
+    readings: Vec<Sent>,
 }
 
 #[derive(Clone, Debug)]
 struct Item {
     number: u64,
-    reading: bool,
     work: Work,
 }
 
+#[derive(Clone, Debug)]
+struct Sent {
+    reading: Reading,
+    start: Duration,
+}
+
+impl Sent {
+    fn kept(&self) -> Duration {
+        let part = Duration::from_millis(u64::from(self.reading.part_ms));
+        if part <= SHORT {
+            KEPT_SHORT
+        } else {
+            KEPT
+        }
+    }
+}
+
+/// A prompt of another instance.
+#[derive(Clone, Debug)]
+struct Heard {
+    /// Time at which it was first heard of.
+    at: Duration,
+    reading: Reading,
+    start: Duration,
+}
+
 #[derive(Clone, Debug)]
 struct Peer {
     at: Duration,
     incarnation: Incarnation,
     instance: InstanceId,
+    readings: Vec<Heard>,
     rows: Vec<Row>,
     sequence: u64,
 }
@@ -63,9 +98,21 @@
     /// Adds a request of this instance; returns its number.
     pub fn start(&mut self, work: Work) -> u64 {
         self.next += 1;
+        let helpers = work.helpers.iter().map(|(helper, _)| *helper);
+        self.readings.push(Sent {
+            reading: Reading {
+                age_ms: 0,
+                background: work.background,
+                number: self.next,
+                part_ms: work.part.as_millis() as u32,
+                rank: work.rank,
+                read: false,
+                targets: std::iter::once(work.first).chain(helpers).collect(),
+            },
+            start: work.start,
+        });
         self.own.push(Item {
             number: self.next,
-            reading: true,
             work,
         });
         self.next
@@ -73,8 +120,8 @@
 
     /// Notes that the prompt of a request was read.
     pub fn read(&mut self, number: u64) {
-        if let Ok(at) = self.own.binary_search_by_key(&number, |item| item.number) {
-            self.own[at].reading = false;
+        if let Ok(at) = self.reading(number) {
+            self.readings[at].reading.read = true;
         }
     }
 
@@ -83,35 +130,78 @@
         if let Ok(at) = self.own.binary_search_by_key(&number, |item| item.number) {
             self.own.remove(at);
         }
+        match self.reading(number) {
+            // What was not read when the request ended is not read any more.
+            Ok(at) if !self.readings[at].reading.read => {
+                self.readings.remove(at);
+            }
+            Ok(_) | Err(_) => {}
+        }
+    }
+
+    fn reading(&self, number: u64) -> Result<usize, usize> {
+        self.readings
+            .binary_search_by_key(&number, |sent| sent.reading.number)
     }
 
     /// Takes a beat of another instance; false if a newer one of the same process came before.
     pub fn hear(&mut self, beat: &Beat, now: Duration) -> bool {
+        let found = self
+            .peers
+            .binary_search_by(|known| known.instance.cmp(&beat.instance));
+        let before = found.ok().map(|at| &self.peers[at]);
+        let before = before.filter(|known| known.incarnation == beat.incarnation);
+        if before.is_some_and(|known| known.sequence >= beat.sequence) {
+            return false;
+        }
+        let known = before.map_or(&[][..], |known| &known.readings[..]);
+        let readings = beat.readings.iter();
         let peer = Peer {
             at: now,
             incarnation: beat.incarnation,
             instance: beat.instance.clone(),
+            readings: readings.map(|reading| heard(known, reading, now)).collect(),
             rows: beat.rows.clone(),
             sequence: beat.sequence,
         };
-        let found = self
-            .peers
-            .binary_search_by(|known| known.instance.cmp(&beat.instance));
         match found {
-            Ok(at) => {
-                let known = &self.peers[at];
-                if known.incarnation == peer.incarnation && known.sequence >= peer.sequence {
-                    return false;
-                }
-                self.peers[at] = peer;
-            }
+            Ok(at) => self.peers[at] = peer,
             Err(at) => self.peers.insert(at, peer),
         }
         true
     }
 
-    /// Forgets instances that were not heard of for long.
+    /// Whether a prompt gives way to another instance's, for which some of the same targets were chosen before either
+    /// instance knew of the other's choice. `window` is the time within which choices become known. Both instances come
+    /// to the same result: the choice with the lower rank stands. One that is older by more than the window stands in any
+    /// case: its instance did not know of this one.
+    pub fn gives_way(&self, number: u64, window: Duration) -> bool {
+        let Ok(at) = self.reading(number) else {
+            return false;
+        };
+        let own = &self.readings[at];
+        let meets = |other: &&Heard| {
+            let targets = &other.reading.targets;
+            let shares = |target| targets.contains(target);
+            !other.reading.read
+                && (own.reading.background || !other.reading.background)
+                && other.at > own.start
+                && own.reading.targets.iter().any(shares)
+        };
+        let goes_first = |other: &Heard| {
+            if other.start + window < own.start {
+                return true;
+            }
+            other.start <= own.start + window && other.reading.rank < own.reading.rank
+        };
+        let others = self.peers.iter().flat_map(|peer| &peer.readings);
+        others.filter(meets).any(goes_first)
+    }
+
+    /// Forgets instances that were not heard of for long, and prompts that were read long ago.
     pub fn expire(&mut self, now: Duration) {
+        self.readings
+            .retain(|sent| !sent.reading.read || now < sent.start + sent.kept());
         self.peers.retain(|peer| now < peer.at + STALE);
     }
 
@@ -121,70 +211,74 @@
     }
 
     /// What this instance has at each target, sorted by target.
-    pub fn rows(&self, now: Duration) -> Vec<Row> {
+    pub fn rows(&self) -> Vec<Row> {
         let mut rows: Vec<Row> = Vec::new();
         for item in &self.own {
             let work = &item.work;
-            let ahead = item.ahead(now);
             let row = row(&mut rows, work.first);
             row.running += 1;
             row.light += u32::from(work.light);
             row.tokens = row.tokens.saturating_add(work.tokens);
-            row.add(ahead, work.background);
             let gap = work.gap.as_millis() as u32;
             if gap > 0 && (row.gap_ms == 0 || gap < row.gap_ms) {
                 row.gap_ms = gap;
             }
             for (helper, held) in &work.helpers {
                 let row = self::row(&mut rows, *helper);
-                row.add(ahead, work.background);
                 row.tokens = row.tokens.saturating_add(*held);
             }
         }
         rows
     }
 
+    /// The prompts that targets read for this instance, and those that were read lately.
+    pub fn readings(&self, now: Duration) -> Vec<Reading> {
+        let aged = |sent: &Sent| Reading {
+            age_ms: now.saturating_sub(sent.start).as_millis() as u32,
+            ..sent.reading.clone()
+        };
+        self.readings.iter().map(aged).collect()
+    }
+
     /// What all instances together have at each target, sorted by target.
     pub fn loads(&self, now: Duration) -> Vec<(TargetKey, Load)> {
         let mut loads: Vec<(TargetKey, Load)> = Vec::new();
-        for row in self.rows(now) {
-            add(&mut loads, &row, Duration::ZERO);
+        let mut backlogs: Vec<(TargetKey, Backlog)> = Vec::new();
+        for row in self.rows() {
+            add(&mut loads, &row);
+        }
+        for sent in &self.readings {
+            queue(&mut backlogs, &sent.reading, sent.start);
         }
         for peer in self.peers.iter().filter(|peer| now < peer.at + STALE) {
             for row in &peer.rows {
-                add(&mut loads, row, now.saturating_sub(peer.at));
+                add(&mut loads, row);
+            }
+            for heard in &peer.readings {
+                queue(&mut backlogs, &heard.reading, heard.start);
             }
         }
-        loads
-    }
-}
-
-impl Item {
-    /// Reading time that is still ahead in milliseconds; it shrinks evenly until the predicted end.
-    fn ahead(&self, now: Duration) -> u32 {
-        if !self.reading {
-            return 0;
+        for (target, backlog) in backlogs {
+            let load = load(&mut loads, target);
+            load.backlog = backlog.ahead(now);
+            load.background = backlog.background(now);
         }
-        let work = &self.work;
-        let whole = work
-            .finish
-            .saturating_sub(work.start)
-            .as_secs_f64()
-            .max(0.001);
-        let left = work.finish.saturating_sub(now).as_secs_f64() / whole;
-        let share = left.clamp(LEAST_AHEAD, 1.0);
-        (work.part.as_secs_f64() * 1e3 * share).ceil() as u32
+        loads
     }
 }
 
-impl Row {
-    fn add(&mut self, ahead: u32, background: bool) {
-        let time = if background {
-            &mut self.background_ms
-        } else {
-            &mut self.backlog_ms
-        };
-        *time = time.saturating_add(ahead);
+/// Takes a prompt from a beat. When it was first heard of, and when it started as computed then, stays.
+fn heard(known: &[Heard], reading: &Reading, now: Duration) -> Heard {
+    let found = known.binary_search_by_key(&reading.number, |known| known.reading.number);
+    let age = Duration::from_millis(u64::from(reading.age_ms));
+    let (at, start) = match found {
+        Ok(at) => (known[at].at, known[at].start),
+        Err(_) => (now, now.saturating_sub(age)),
+    };
+    Heard {
+        at,
+        reading: reading.clone(),
+        start,
     }
 }
 
@@ -201,16 +295,17 @@
     &mut rows[at]
 }
 
-/// Adds a row that is `age` old: the target has read on since.
-fn add(loads: &mut Vec<(TargetKey, Load)>, row: &Row, age: Duration) {
-    let found = loads.binary_search_by_key(&row.target, |(target, _)| *target);
+fn load(loads: &mut Vec<(TargetKey, Load)>, target: TargetKey) -> &mut Load {
+    let found = loads.binary_search_by_key(&target, |(target, _)| *target);
     let at = found.unwrap_or_else(|at| {
-        loads.insert(at, (row.target, Load::default()));
+        loads.insert(at, (target, Load::default()));
         at
     });
-    let load = &mut loads[at].1;
-    load.backlog += Duration::from_millis(u64::from(row.backlog_ms)).saturating_sub(age);
-    load.background += Duration::from_millis(u64::from(row.background_ms)).saturating_sub(age);
+    &mut loads[at].1
+}
+
+fn add(loads: &mut Vec<(TargetKey, Load)>, row: &Row) {
+    let load = load(loads, row.target);
     load.light += row.light;
     load.running += row.running;
     load.tokens = load.tokens.saturating_add(row.tokens);
@@ -219,3 +314,18 @@
         load.gap = Some(load.gap.map_or(gap, |known| known.min(gap)));
     }
 }
+
+/// Adds a prompt to what its targets were given to read.
+fn queue(backlogs: &mut Vec<(TargetKey, Backlog)>, reading: &Reading, start: Duration) {
+    let part = Duration::from_millis(u64::from(reading.part_ms));
+    for target in &reading.targets {
+        let found = backlogs.binary_search_by_key(target, |(target, _)| *target);
+        let at = found.unwrap_or_else(|at| {
+            backlogs.insert(at, (*target, Backlog::default()));
+            at
+        });
+        backlogs[at]
+            .1
+            .add(start, part, reading.background, reading.read);
+    }
+}
