model: Search how entry instances come to know a topic

Change: a specification drives `entry::Fold` through all of them; its three guards have a mutant each. The search found one more fault: a whole state from a reader that lags behind, taken after a newer one, brought a removed key back, since an instance that started after the removal has no record of it. A record of an unknown key from before the position up to which all keys are known is ignored now.

--- a/model/src/lib.rs
+++ b/model/src/lib.rs
@@ -6,6 +6,7 @@
 mod case;
 pub mod claim;
 pub mod controller;
+pub mod exchange;
 pub mod gang;
 pub mod ownership;
 pub mod record;
@@ -20,5 +21,6 @@
 pub fn all() -> Vec<Case> {
     let mut cases = ownership::cases();
     cases.extend(controller::cases());
+    cases.extend(exchange::cases());
     cases
 }
--- a/src/entry/fold.rs
+++ b/src/entry/fold.rs
@@ -6,7 +6,7 @@
 const REMOVALS: usize = 1_024;
 
 /// The newest value of one key; none after its removal.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
 pub struct Record {
     /// What the record is about.
     pub key: String,
@@ -16,18 +16,48 @@
     pub value: Option<Vec<u8>>,
 }
 
+/// Guards of a fold, all on; for verification only.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub struct Guards {
+    /// An instance that may not know of all removals passes on the whole state.
+    pub complete: bool,
+    /// An older record never replaces a newer one of its key.
+    pub newest: bool,
+    /// A whole state that is older than what is known removes nothing.
+    pub stale: bool,
+}
+
+impl Default for Guards {
+    fn default() -> Self {
+        Self {
+            complete: true,
+            newest: true,
+            stale: true,
+        }
+    }
+}
+
 /// The newest records of a topic, whatever way they arrive: a key never goes back to an older value.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug, Default, Eq, Hash, PartialEq)]
 pub struct Fold {
     /// Position from which on every removal is among the records. A whole state does not tell what was removed before.
     complete: Offset,
     end: Offset,
+    guards: Guards,
     known: bool,
     /// Sorted by key.
     records: Vec<Record>,
 }
 
 impl Fold {
+    /// An empty fold with some guards off, which a search must find at fault.
+    pub fn with(guards: Guards) -> Self {
+        Self {
+            guards,
+            ..Self::default()
+        }
+    }
+
     /// Takes a record; returns it if it is newer than what was known of its key.
     pub fn apply(&mut self, record: Record) -> Option<&Record> {
         self.end = self.end.max(record.offset + 1);
@@ -35,11 +65,15 @@
             .records
             .binary_search_by(|known| known.key.cmp(&record.key));
         let at = match found {
-            Ok(at) if self.records[at].offset >= record.offset => return None,
+            Ok(at) if self.guards.newest && self.records[at].offset >= record.offset => {
+                return None;
+            }
             Ok(at) => {
                 self.records[at] = record;
                 at
             }
+            // All keys that there were at that position are known: this one was removed before it.
+            Err(_) if self.guards.newest && record.offset < self.complete => return None,
             Err(at) => {
                 self.records.insert(at, record);
                 at
@@ -70,7 +104,7 @@
     pub fn replace(&mut self, state: Vec<Record>, end: Offset) -> Vec<Record> {
         let before = self.end;
         let mut changed = Vec::new();
-        if end >= before {
+        if end >= before || !self.guards.stale {
             for known in &mut self.records {
                 if state.iter().any(|record| record.key == known.key) {
                     continue;
@@ -94,7 +128,7 @@
 
     /// The newest records from `from` on, removals too; none if removals since then may be unknown here.
     pub fn since(&self, from: Offset) -> Option<Vec<Record>> {
-        if from < self.complete {
+        if from < self.complete && self.guards.complete {
             return None;
         }
         let records = self.records.iter().filter(|record| record.offset >= from);
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -45,7 +45,7 @@
 pub use directory::{Directory, Target};
 pub use engine::Engine;
 pub use events::Events;
-pub use fold::{Fold, Record};
+pub use fold::{Fold, Guards, Record};
 pub use health::Health;
 pub use instance::Instance;
 pub use load::Load;
--- a/tests/entry_fold.rs
+++ b/tests/entry_fold.rs
@@ -75,6 +75,15 @@
     assert!(early.value("c").is_some());
 }
 
+/// A reader of the log that lags behind brings a value that was removed before this instance started.
+#[test]
+fn stale_state_brings_nothing_back() {
+    let mut fold = Fold::default();
+    fold.replace(Vec::new(), 2);
+    assert!(fold.replace(vec![record("a", 0, Some("1"))], 1).is_empty());
+    assert_eq!(fold.value("a"), None);
+}
+
 /// Removals that were forgotten cannot be passed on either.
 #[test]
 fn forgotten_removals_are_not_skipped() {
