--- a/tests/entry_view.rs
+++ b/tests/entry_view.rs
@@ -80,3 +80,46 @@
     assert_eq!(load(&view, 1, 1_000).running, 3);
     assert_eq!(load(&view, 1, 3_000), Load::default());
 }
+
+/// Ages alone are no news, since the receiver lets them grow; a prompt that was sent or read is.
+#[test]
+fn only_news_is_told() {
+    let mut view = View::default();
+    let told = |view: &View, now: u64| Beat {
+        readings: view.readings(ms(now)),
+        rows: view.rows(),
+        ..Beat::default()
+    };
+    let nothing = told(&view, 0);
+    let number = view.start(work(1));
+    let sent = told(&view, 0);
+    assert!(!sent.repeats(&nothing));
+    assert!(told(&view, 90).repeats(&sent));
+    view.read(number);
+    assert!(!told(&view, 100).repeats(&sent));
+}
+
+/// Prompts that were read long ago are not told any more; unread ones are.
+#[test]
+fn old_readings_are_dropped() {
+    let mut view = View::default();
+    let read = view.start(work(1));
+    view.start(work(2));
+    view.read(read);
+    view.finish(read);
+    assert_eq!(view.readings(ms(100)).len(), 2);
+    view.expire(ms(5_000));
+    let left = view.readings(ms(5_000));
+    assert_eq!(left.len(), 1);
+    assert!(!left[0].read);
+}
+
+/// A request that ends before its prompt was read frees its engines of it.
+#[test]
+fn cancelled_reading_is_gone() {
+    let mut view = View::default();
+    let number = view.start(work(1));
+    view.finish(number);
+    assert!(view.readings(ms(1)).is_empty());
+    assert_eq!(load(&view, 9, 1), Load::default());
+}
