--- a/tests/entry_claims.rs
+++ b/tests/entry_claims.rs
@@ -229,23 +229,25 @@
     assert_eq!(waiting.count(), 0, "{} parts were sent", site.sent.len());
 }
 
+/// A long prompt that the engines 1 and 2 read.
+fn work(rank: u32, start: Duration) -> Work {
+    Work {
+        background: false,
+        first: 1,
+        gap: ms(1_000),
+        helpers: vec![(2, 0)],
+        light: false,
+        part: ms(400),
+        rank,
+        start,
+        tokens: 1_000,
+    }
+}
+
 /// Two instances choose the same engine before they know of each other: exactly one choice stands, whatever the delays
 /// of the datagrams and the ranks.
 #[test]
 fn one_choice_stands() {
-    let start = |view: &mut View, rank: u32, now: Duration| {
-        view.start(Work {
-            background: false,
-            first: 1,
-            gap: ms(1_000),
-            helpers: vec![(2, 0)],
-            light: false,
-            part: ms(400),
-            rank,
-            start: now,
-            tokens: 1_000,
-        })
-    };
     let beat = |view: &View, instance: &str, now: Duration| Beat {
         incarnation: 1,
         instance: instance.into(),
@@ -261,8 +263,8 @@
         for later in 0..there {
             let (mut one, mut other) = (View::default(), View::default());
             let (at, then) = (ms(100), ms(100 + later));
-            let mine = start(&mut one, ranks.0, at);
-            let theirs = start(&mut other, ranks.1, then);
+            let mine = one.start(work(ranks.0, at));
+            let theirs = other.start(work(ranks.1, then));
             other.hear(&beat(&one, "one", at), at + ms(there));
             one.hear(&beat(&other, "other", then), then + ms(back));
             let stands = [!one.gives_way(mine, KNOWN), !other.gives_way(theirs, KNOWN)];
@@ -276,17 +278,7 @@
 #[test]
 fn older_choice_stands() {
     let mut view = View::default();
-    let number = view.start(Work {
-        background: false,
-        first: 1,
-        gap: ms(1_000),
-        helpers: Vec::new(),
-        light: false,
-        part: ms(400),
-        rank: 1,
-        start: ms(100),
-        tokens: 1_000,
-    });
+    let number = view.start(work(1, ms(100)));
     let reading = Reading {
         age_ms: 60,
         number: 1,
