entry: Log how long the log was silent and whether a read is behind

Cause: the hypotheses for records that come late (silent connections, history that is read too slowly, refused reads) differ in the time since the log's last answer and in the distance to its end; neither was in any line. Ruled out: a metric alone; the on-call engineer needs the moment and the topic. Change: `log_lost` and `log_regained` carry `after_ms`; `log_behind` is written when a read ends before the end of the topic, which the log states in each answer and which was ignored so far.

--- a/src/entry/follow.rs
+++ b/src/entry/follow.rs
@@ -110,6 +110,7 @@
 async fn follow(instance: &Rc<Instance>, topic: Topic) {
     let mut pause = FIRST_RETRY_PAUSE;
     let mut is_lost = false;
+    let mut last_answer = instance.clock.now();
     let mut whole = true;
     loop {
         let end = instance.ends()[topic as usize];
@@ -126,9 +127,20 @@
                         instance.source,
                         "log_regained",
                         topic = topic.name(),
-                        end = batch.end
+                        end = batch.end,
+                        after_ms = elapsed_ms(instance, last_answer)
                     );
                 }
+                if batch.end < batch.log_end {
+                    event!(
+                        instance.source,
+                        "log_behind",
+                        topic = topic.name(),
+                        end = batch.end,
+                        log_end = batch.log_end
+                    );
+                }
+                last_answer = instance.clock.now();
                 (is_lost, pause) = (false, FIRST_RETRY_PAUSE);
                 instance.apply(topic, batch.records, batch.end, whole);
                 whole = false;
@@ -144,7 +156,8 @@
                         "log_lost",
                         topic = topic.name(),
                         end = end,
-                        reason = format!("{error:?}")
+                        reason = format!("{error:?}"),
+                        after_ms = elapsed_ms(instance, last_answer)
                     );
                 }
                 is_lost = true;
@@ -154,6 +167,10 @@
     }
 }
 
+fn elapsed_ms(instance: &Instance, since: Duration) -> u64 {
+    instance.clock.now().saturating_sub(since).as_millis() as u64
+}
+
 /// Waits for a random share of the pause and returns the next pause.
 async fn back_off(pause: Duration) -> Duration {
     Timer::after(pause.mul_f64(0.5 + fastrand::f64() / 2.0)).await;
--- a/src/entry/platform.rs
+++ b/src/entry/platform.rs
@@ -149,8 +149,10 @@
 /// Records read from the log.
 #[derive(Clone, Debug, Default)]
 pub struct Batch {
-    /// Offset after the last record of the topic.
+    /// Offset after the last record that was read.
     pub end: Offset,
+    /// Offset after the last record of the topic when it was read.
+    pub log_end: Offset,
     /// Records in order of offset.
     pub records: Vec<Record>,
 }
