entry: Notice silent connections to the log within the bounds

Callers saw: requests handled by an older configuration, and requests sent to targets that had said that they leave, for seconds after both were acknowledged. Cause: a read of the log is held open for 10 s and given up 1.5 s later. On a connection that is open but silent the instance learns nothing for up to 11.5 s, although the deployments allow 2 s for a change and 3 s for recovery from a network fault. Other instances know no more, since a change wakes all reads at once, so they also fall silent together. After the time-out the next read took an idle connection, which was as silent. Ruled out: TCP keep-alive alone (a host that acknowledges but does not answer keeps it alive); a short poll at every instance (the calls grow with the fleet). Up to six instances poll for the shortest time; with more, the times are random and longer, at most 10 s, and whoever reads first tells the others by its heartbeat.

--- a/src/entry/follow.rs
+++ b/src/entry/follow.rs
@@ -4,16 +4,21 @@
 use smol::Timer;
 
 use super::member::Entry;
-use super::platform::{LogError, Topic};
+use super::platform::{LogError, Topic, ANSWER_TIMEOUT};
 use super::Instance;
 use crate::event;
 
 /// Time between two reads of the instances' records, in case two instances missed each other.
 const INSTANCES_INTERVAL: Duration = Duration::from_secs(30);
 
-/// Maximum time for which the log holds a read open. Each call has a cost. The time may be long, because an instance
-/// whose connection stalled learns from heartbeats that it is behind.
-const LONG_POLL: Duration = Duration::from_secs(10);
+/// Maximum time for which the log holds a read open.
+const MAX_POLL: Duration = Duration::from_secs(10);
+
+/// Minimum time for which the log holds a read open, even if a bound is shorter. Each call has a cost.
+const MIN_POLL: Duration = Duration::from_millis(500);
+
+/// Number of instances for which polls get longer by one minimum: an instance learns what others know from heartbeats.
+const INSTANCES_PER_POLL: f64 = 6.0;
 
 /// Minimum time between two reads of a topic, so that a topic that changes all the time costs few calls. It is far
 /// below the time within which a change has to be in force.
@@ -117,7 +122,10 @@
         let read = if whole {
             instance.log.newest(topic).await
         } else {
-            instance.log.read(topic, end, LONG_POLL).await
+            instance
+                .log
+                .read(topic, end, poll_time(instance, topic))
+                .await
         };
         match read {
             Ok(batch) => {
@@ -167,6 +175,23 @@
     }
 }
 
+/// Time for which the log holds a read open: random, so that reads which began together do not end together. A silent
+/// connection is noticed only at the end of a read, and at least one instance has to notice within the bound.
+fn poll_time(instance: &Instance, topic: Topic) -> Duration {
+    let bound = {
+        let settings = instance.settings.borrow();
+        match topic {
+            Topic::Instances | Topic::Operator => settings.apply_bound,
+            Topic::Targets => settings.drain_bound,
+        }
+    };
+    let shortest = bound.saturating_sub(ANSWER_TIMEOUT).max(MIN_POLL);
+    let live = instance.members.borrow().live(instance.clock.now()).count() + 1;
+    let factor = (live as f64 / INSTANCES_PER_POLL).max(1.0);
+    let longest = shortest.mul_f64(factor).min(MAX_POLL).max(shortest);
+    shortest + (longest - shortest).mul_f64(fastrand::f64())
+}
+
 fn elapsed_ms(instance: &Instance, since: Duration) -> u64 {
     instance.clock.now().saturating_sub(since).as_millis() as u64
 }
--- a/src/entry/platform.rs
+++ b/src/entry/platform.rs
@@ -121,6 +121,9 @@
     fn send(&self, call: Call) -> LocalBoxFuture<'_, Result<Reply, Failure>>;
 }
 
+/// Maximum time for an answer of the log, in addition to the time that it is asked to wait.
+pub const ANSWER_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// A topic of the log.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
 pub enum Topic {
--- a/src/entry/settings.rs
+++ b/src/entry/settings.rs
@@ -6,6 +6,8 @@
 /// Identity and limits of an instance.
 #[derive(Clone, Debug)]
 pub struct Settings {
+    /// Time after which an acknowledged configuration has to be in force.
+    pub apply_bound: Duration,
     /// Retries of all instances together, as a share of the requests.
     pub budget_ratio: f64,
     /// Retries of all instances together in addition to that share.
@@ -18,6 +20,8 @@
     pub cold_slack: f64,
     /// Failure domain.
     pub domain: DomainId,
+    /// Time after which a target whose leaving was acknowledged must get no request.
+    pub drain_bound: Duration,
     /// Name.
     pub instance: InstanceId,
     /// Address of this instance.
@@ -31,12 +35,14 @@
 impl Default for Settings {
     fn default() -> Settings {
         Settings {
+            apply_bound: Duration::from_secs(2),
             budget_ratio: 0.2,
             budget_slack: 100.0,
             budget_window: Duration::from_secs(10),
             cold_overage: 1.5,
             cold_slack: 5.0,
             domain: "local".into(),
+            drain_bound: Duration::from_secs(2),
             instance: "local-1".into(),
             ip: IpAddr::from([127, 0, 0, 1]),
             peer_port: 7340,
