entry: Read the newest records when a read of the log ends behind

Callers saw: 404 on a route that had been added, and requests handled by an older version, while configurations were written in quick succession. Cause: an instance that was behind read every record that it had missed, at most 1 MB a read and one read in 350 ms. Large configurations are written faster than that, so each one came into force later than the one before; the log's bandwidth for reads is shared by all instances, so many instances reach that point sooner. Evidence: on the code before, `record_backlog` fails: 2 s after forty configurations of 240 KiB the route of the last one gets 'HTTP/1.1 404 Not Found'. Ruled out: reading on without a pause, which still reads every record at every instance. If a read ends before it, the next call reads the newest record of each key, at once. Why it works: what is read then is as large as the state, however many changes were missed.

--- a/src/entry/follow.rs
+++ b/src/entry/follow.rs
@@ -139,7 +139,8 @@
                         after_ms = elapsed_ms(instance, last_answer)
                     );
                 }
-                if batch.end < batch.log_end {
+                let is_behind = batch.end < batch.log_end;
+                if is_behind {
                     event!(
                         instance.source,
                         "log_behind",
@@ -151,8 +152,11 @@
                 last_answer = instance.clock.now();
                 (is_lost, pause) = (false, FIRST_RETRY_PAUSE);
                 instance.apply(topic, batch.records, batch.end, whole);
-                whole = false;
-                Timer::after(MIN_READ_INTERVAL).await;
+                // The newest records are shorter to read than all that were written since.
+                whole = is_behind;
+                if !is_behind {
+                    Timer::after(MIN_READ_INTERVAL).await;
+                }
             }
             Err(error) => {
                 count(instance, topic.name(), "failed");
