entry: Keep the end of a state that is read in pages

A record on a later page may be newer than the end that the first page states. Applying it moved the end of the fold behind it, so the records between the two were never read. A whole state from another instance could also remove such a record, and it was not taken again. Evidence: `later_page_skips_nothing` fails on the code before: the end is 4 where the first page ended at 2. Ruled out: reading the pages again until the end stays the same, which does not end while targets change. Change: records of a whole state no longer move the end, and a state removes only keys whose known record is older than its end. Why it works: reading goes on from the end of the first page, and records that are known already are ignored.

--- a/src/entry/fold.rs
+++ b/src/entry/fold.rs
@@ -24,7 +24,7 @@
     pub complete: bool,
     /// An older record never replaces a newer one of the same key.
     pub newest: bool,
-    /// A whole state that is older than what is known removes no key.
+    /// A whole state removes no key of which a newer record is known.
     pub stale: bool,
 }
 
@@ -63,6 +63,10 @@
     /// Applies a record; returns it if it is newer than the known record of its key.
     pub fn apply(&mut self, record: Record) -> Option<&Record> {
         self.end = self.end.max(record.offset + 1);
+        self.insert(record)
+    }
+
+    fn insert(&mut self, record: Record) -> Option<&Record> {
         let found = self
             .records
             .binary_search_by(|known| known.key.cmp(&record.key));
@@ -101,25 +105,25 @@
         self.trim_removals();
     }
 
-    /// Applies a whole state that was read at `end`; keys that it lacks are removed. A state that is older than what is
-    /// known removes nothing, since the keys may have been added since. Returns the records that changed.
+    /// Applies a whole state that was read at `end`; keys that it lacks are removed, unless a newer record of them is
+    /// known. The state may hold records from `end` on, which were read later than the others: they do not move the end,
+    /// since other records before them may be missing. Returns the records that changed.
     pub fn replace(&mut self, state: Vec<Record>, end: Offset) -> Vec<Record> {
         let before = self.end;
         let mut changed = Vec::new();
-        if end >= before || !self.guards.stale {
-            for known in &mut self.records {
-                if state.iter().any(|record| record.key == known.key) {
-                    continue;
-                }
-                // The key may have been added and removed again up to `end`.
-                known.offset = known.offset.max(end.saturating_sub(1));
-                if known.value.take().is_some() {
-                    changed.push(known.clone());
-                }
+        for known in &mut self.records {
+            let is_newer = known.offset >= end && self.guards.stale;
+            if is_newer || state.iter().any(|record| record.key == known.key) {
+                continue;
+            }
+            // The key may have been added and removed again up to `end`.
+            known.offset = known.offset.max(end.saturating_sub(1));
+            if known.value.take().is_some() {
+                changed.push(known.clone());
             }
         }
         for record in state {
-            changed.extend(self.apply(record).cloned());
+            changed.extend(self.insert(record).cloned());
         }
         if !self.known || end > before {
             self.complete = self.complete.max(end);
--- a/tests/entry_fold.rs
+++ b/tests/entry_fold.rs
@@ -84,6 +84,33 @@
     assert_eq!(fold.value("a"), None);
 }
 
+/// Pages of the newest records are not a snapshot: a later page may hold a record that is newer than the end of the
+/// first page. The records between the two must still be read.
+#[test]
+fn later_page_skips_nothing() {
+    let mut fold = Fold::default();
+    // `a` changes at offset 2 and `b` at offset 3, after the first page and before the second one.
+    fold.replace(
+        vec![record("a", 0, Some("old")), record("b", 3, Some("new"))],
+        2,
+    );
+    assert_eq!(fold.end(), 2);
+    fold.apply(record("a", 2, Some("new")));
+    fold.apply(record("b", 3, Some("new")));
+    fold.advance(4);
+    assert_eq!(fold.value("a"), Some(&b"new"[..]));
+    assert_eq!(fold.value("b"), Some(&b"new"[..]));
+}
+
+/// A whole state from another instance ends before a record that a later page brought, so it says nothing about its key.
+#[test]
+fn later_page_is_kept() {
+    let mut fold = Fold::default();
+    fold.replace(vec![record("b", 3, Some("new"))], 2);
+    assert!(fold.replace(Vec::new(), 3).is_empty());
+    assert!(fold.value("b").is_some());
+}
+
 /// An instance that has forgotten some removals passes on its whole state.
 #[test]
 fn forgotten_removals_are_not_skipped() {
