entry: Fetch records from each instance that is ahead in turn

Cause: an instance fetched from the member that knew most, the last by name if several did, again after each failure. A member whose datagrams arrive but which cannot be reached (packets pass one way only) was asked for as long as it lived. Topics were fetched one after the other, so 800 ms of waiting for one topic delayed the other two. Evidence: on the code before, `peer_fetch` fails with 'waited for 10s': the process is never ready beside a reachable member that knows everything. Found while looking for other ways in which records come late. Ruled out: to forget a member after a failed fetch; its heartbeats carry its work, which stays valid. Change: each fetch goes to the next member that is ahead, and each topic has its own task. Instances start at different members, so one that is ahead alone with others does not serve all of them. Why it works: a member that does not answer costs one time-out, then another one is asked.

--- a/src/entry/member.rs
+++ b/src/entry/member.rs
@@ -118,10 +118,9 @@
         names
     }
 
-    /// The live instance that knows most of a topic beyond `end`.
-    pub fn ahead(&self, topic: usize, end: Offset, now: Duration) -> Option<&Member> {
-        self.live(now)
-            .filter(|member| member.ends[topic] > end)
-            .max_by_key(|member| member.ends[topic])
+    /// A live instance that knows a topic beyond `end`. Consecutive values of `turn` select each of them in turn.
+    pub fn ahead(&self, topic: usize, end: Offset, now: Duration, turn: usize) -> Option<&Member> {
+        let ahead = || self.live(now).filter(|member| member.ends[topic] > end);
+        ahead().nth(turn.checked_rem(ahead().count())?)
     }
 }
--- a/src/entry/peer.rs
+++ b/src/entry/peer.rs
@@ -11,7 +11,7 @@
 use smol::Timer;
 
 use super::platform::{LocalBoxFuture, Topic};
-use super::{Heartbeat, Instance, Record};
+use super::{Heartbeat, Instance, Member, Record};
 use crate::event;
 use crate::id::Offset;
 
@@ -63,7 +63,9 @@
     );
     spawn(Box::pin(receive_heartbeats(instance.clone(), socket)));
     spawn(Box::pin(serve_fetches(instance.clone(), listener)));
-    spawn(Box::pin(catch_up(instance.clone())));
+    for topic in Topic::ALL {
+        spawn(Box::pin(catch_up(instance.clone(), topic)));
+    }
     Ok(())
 }
 
@@ -211,51 +213,63 @@
     }
 }
 
-/// Fetches records from another instance while the log does not deliver them.
-async fn catch_up(instance: Rc<Instance>) {
-    let mut behind: [Option<Duration>; 3] = [None; 3];
+/// Fetches records of a topic from another instance while the log does not deliver them.
+async fn catch_up(instance: Rc<Instance>, topic: Topic) {
+    let at = topic as usize;
+    let mut behind: Option<Duration> = None;
+    // Instances start at different members, so that they do not all fetch from the same one.
+    let mut turn = fastrand::usize(..);
     loop {
         Timer::after(FETCH_DELAY / 2).await;
-        for topic in Topic::ALL {
-            let at = topic as usize;
-            let now = instance.clock.now();
-            let end = instance.ends()[at];
-            let member = instance.members.borrow().ahead(at, end, now).cloned();
-            let Some(member) = member else {
-                behind[at] = None;
-                continue;
-            };
-            let since = *behind[at].get_or_insert(now);
-            if now < since + FETCH_DELAY {
-                continue;
-            }
-            let from = if instance.knows(topic) { end } else { 0 };
-            let fetch = Fetch { from, topic: at };
-            match fetch_from(member.address, &fetch).await {
-                Ok(fetched) => {
-                    event!(
-                        instance.source,
-                        "fetched",
-                        topic = topic.name(),
-                        from = member.instance.as_str(),
-                        before = end,
-                        end = fetched.end,
-                        records = fetched.records.len(),
-                        whole = fetched.whole
-                    );
-                    instance.apply(topic, fetched.records, fetched.end, fetched.whole);
-                }
-                Err(error) => {
-                    event!(
-                        warn,
-                        instance.source,
-                        "fetch_failed",
-                        topic = topic.name(),
-                        from = member.instance.as_str(),
-                        error = error.to_string()
-                    );
-                }
-            }
+        let now = instance.clock.now();
+        let end = instance.ends()[at];
+        let member = {
+            let members = instance.members.borrow();
+            members.ahead(at, end, now, turn).cloned()
+        };
+        let Some(member) = member else {
+            behind = None;
+            continue;
+        };
+        let since = *behind.get_or_insert(now);
+        if now >= since + FETCH_DELAY {
+            fetch(&instance, topic, end, &member).await;
+            // A member whose heartbeats arrive may still be unreachable from here.
+            turn = turn.wrapping_add(1);
+        }
+    }
+}
+
+/// Fetches the records of a topic from `end` on and applies them.
+async fn fetch(instance: &Instance, topic: Topic, end: Offset, member: &Member) {
+    let from = if instance.knows(topic) { end } else { 0 };
+    let request = Fetch {
+        from,
+        topic: topic as usize,
+    };
+    match fetch_from(member.address, &request).await {
+        Ok(fetched) => {
+            event!(
+                instance.source,
+                "fetched",
+                topic = topic.name(),
+                from = member.instance.as_str(),
+                before = end,
+                end = fetched.end,
+                records = fetched.records.len(),
+                whole = fetched.whole
+            );
+            instance.apply(topic, fetched.records, fetched.end, fetched.whole);
+        }
+        Err(error) => {
+            event!(
+                warn,
+                instance.source,
+                "fetch_failed",
+                topic = topic.name(),
+                from = member.instance.as_str(),
+                error = error.to_string()
+            );
         }
     }
 }
