entry: Keep a draining target out until its process restarts

Cause: the newest record of a target decides. A write that got no answer may be carried out seconds later, so a record from before the draining can be appended after it, and the target was used again. Evidence: `late_record_ends_no_draining` fails on the code before: assertion failed: names(&directory, 20).is_empty(). Ruled out: the order of offsets, which is the order of the late writes; clocks of targets. Change: for one process, told by its start, draining is final. The log line `target` states what the directory holds. Why it works: a process that said that it leaves serves no more, and a new process has another start.

--- a/src/entry/directory.rs
+++ b/src/entry/directory.rs
@@ -36,6 +36,13 @@
     pub fn key(&self) -> TargetKey {
         key(&self.id)
     }
+
+    /// Whether this target is draining and `other` describes the same process before that.
+    fn is_leaving_as(&self, other: &Target) -> bool {
+        let is_same =
+            self.started_unix_ms.is_some() && self.started_unix_ms == other.started_unix_ms;
+        is_same && self.draining && !other.draining
+    }
 }
 
 /// The known targets, sorted by id.
@@ -59,7 +66,10 @@
             .binary_search_by(|entry| entry.target.id.as_str().cmp(id));
         match (found, target) {
             (Ok(at), Some(target)) => {
-                self.targets[at] = Entry::new(target);
+                // Draining ends with the process, so a record without it is older than the known one.
+                if !self.targets[at].target.is_leaving_as(&target) {
+                    self.targets[at] = Entry::new(target);
+                }
             }
             (Err(at), Some(target)) => self.targets.insert(at, Entry::new(target)),
             (Ok(at), None) => {
--- a/src/entry/instance.rs
+++ b/src/entry/instance.rs
@@ -350,19 +350,21 @@
             // The health of the old process says nothing about the new one.
             self.health.borrow_mut().forget(key(&record.key));
         }
+        let is_gone = target.is_none();
+        directory.apply(&record.key, target, now);
+        let state = match directory.target(&record.key) {
+            Some(target) if !is_gone && target.draining => "draining",
+            Some(target) if !is_gone && target.cold_until > now => "cold",
+            Some(_) if !is_gone => "ready",
+            Some(_) | None => "gone",
+        };
         event!(
             self.source,
             "target",
             target = record.key.as_str(),
             offset = record.offset,
-            state = match &target {
-                None => "gone",
-                Some(target) if target.draining => "draining",
-                Some(target) if target.cold_until > now => "cold",
-                Some(_) => "ready",
-            }
+            state = state
         );
-        directory.apply(&record.key, target, now);
         self.metrics.targets.set(directory.targets().count() as i64);
     }
 
--- a/tests/entry_directory.rs
+++ b/tests/entry_directory.rs
@@ -23,6 +23,24 @@
     assert!(directory.target("b").is_none());
 }
 
+/// A record that was written before a target started to drain may be appended after it. The target stays out until its
+/// process restarts.
+#[test]
+fn late_record_ends_no_draining() {
+    let process = |started_unix_ms, draining| {
+        let mut target = target("a", "north");
+        (target.started_unix_ms, target.draining) = (Some(started_unix_ms), draining);
+        Some(target)
+    };
+    let mut directory = Directory::default();
+    directory.apply("a", process(1_000, false), ms(0));
+    directory.apply("a", process(1_000, true), ms(10));
+    directory.apply("a", process(1_000, false), ms(20));
+    assert!(names(&directory, 20).is_empty());
+    directory.apply("a", process(9_000, false), ms(30));
+    assert_eq!(names(&directory, 30), ["a"]);
+}
+
 /// A target whose record is removed without notice may be leaving: other targets are used from then on.
 #[test]
 fn removed_gets_nothing() {
