entry: Log the ends of targets with the parts of the prompts they were to answer

Ruled out: to take each broken connection for an end; resets and spoiled answers would accuse parts. When a connection breaks before more than the first events came, a new connection shows whether the target still listens. If not, and it was not leaving, `target_ended` names request, target and parts, and `entry_target_ends_total` counts it. Result: one connection attempt for each such break; placement, retries and answers are as before.

--- a/src/entry/metric.rs
+++ b/src/entry/metric.rs
@@ -25,6 +25,8 @@
     pub requests: IntCounterVec,
     /// Sends to targets by outcome.
     pub sends: IntCounterVec,
+    /// Targets that ended before they wrote an answer, one for each request that waited for one.
+    pub target_ends: IntCounter,
     /// Known targets.
     pub targets: IntGauge,
 }
@@ -64,6 +66,11 @@
                 "Calls to the log.",
                 &["topic", "outcome"],
             )?,
+            target_ends: counter(
+                r,
+                "entry_target_ends_total",
+                "Requests whose target ended before it wrote an answer.",
+            )?,
             targets: gauge(r, "entry_targets", "Targets that are known.")?,
             registry,
         })
--- a/src/entry/relay.rs
+++ b/src/entry/relay.rs
@@ -20,6 +20,8 @@
     events: Events,
     exchange: Exchange,
     first_events: Option<Bytes>,
+    /// Whether the target wrote on after the first events.
+    has_progress: bool,
     in_flight: InFlight,
     last_events: Option<Duration>,
     resumable: bool,
@@ -48,6 +50,7 @@
             events: opened.events,
             exchange,
             first_events: Some(opened.first),
+            has_progress: false,
             in_flight: opened.in_flight,
             last_events: None,
             resumable,
@@ -118,6 +121,7 @@
             Read::Chunk(None) => Step::Broken(Failure::Broken),
             Read::Chunk(Some(Ok(bytes))) => match self.events.push(&bytes) {
                 Ok(events) => {
+                    self.has_progress |= !events.is_empty();
                     self.measure(&events);
                     Step::Bytes(events)
                 }
@@ -155,6 +159,9 @@
         );
         let now = instance.clock.now();
         let key = self.target.key();
+        if failure == Failure::Broken && !self.has_progress {
+            self.exchange.confirm_end(&self.target);
+        }
         if self.exchange.time_left().is_zero() || !self.resumable {
             return None;
         }
@@ -179,6 +186,7 @@
         self.events = opened.events;
         self.in_flight = opened.in_flight;
         self.target = opened.target;
+        self.has_progress = false;
         self.in_flight.finish_prefill();
         self.last_events = None;
         Some(opened.first)
--- a/src/entry/serve/mod.rs
+++ b/src/entry/serve/mod.rs
@@ -5,6 +5,7 @@
 mod outcome;
 mod record;
 mod send;
+mod target_end;
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -211,6 +212,9 @@
             let outcome = self.send(placement, in_flight, last_event_id).await;
             let took = self.instance.clock.now().saturating_sub(started);
             self.record(&target, &outcome, took);
+            if matches!(outcome, Outcome::Failed(Failure::Broken)) {
+                self.confirm_end(&target);
+            }
             match outcome {
                 Outcome::Opened(opened) => return Ok(Ok(opened)),
                 Outcome::Answered(reply) => {
--- /dev/null
+++ b/src/entry/serve/target_end.rs
@@ -0,0 +1,48 @@
+use std::rc::Rc;
+
+use super::Exchange;
+use crate::entry::{Instance, Request, Target};
+use crate::event;
+
+impl Exchange {
+    /// Finds out whether a target ended when it should have begun to write the answer, since the broken connection may
+    /// also have been reset alone.
+    pub(in crate::entry) fn confirm_end(&self, target: &Rc<Target>) {
+        if self.request.shared_parts.is_empty() {
+            return;
+        }
+        let instance = self.instance.clone();
+        let (request, target) = (self.request.clone(), target.clone());
+        let executor = instance.executor.clone();
+        let check = async move {
+            if !instance.targets.probe(target.address).await {
+                instance.record_end(&request, &target);
+            }
+        };
+        executor.spawn(check).detach();
+    }
+}
+
+impl Instance {
+    /// Records that a target ended before it wrote an answer to the request. A target that left on purpose says nothing
+    /// about the request.
+    fn record_end(&self, request: &Request, target: &Target) {
+        let is_leaving = {
+            let directory = self.directory.borrow();
+            let known = directory.target(&target.id);
+            known.is_none_or(|known| known.draining)
+        };
+        if is_leaving {
+            return;
+        }
+        self.metrics.target_ends.inc();
+        event!(
+            warn,
+            self.source,
+            "target_ended",
+            request = request.id.as_str(),
+            target = target.id.as_str(),
+            parts = request.shared_parts.join(",")
+        );
+    }
+}
