entry: Quarantine parts of prompts at which targets crash

Callers saw: streams that broke off or were refused for as long as requests with one part came, since each of them ended one target after the other, with all streams that ran there. Cause: an instance remembers failures of targets and domains, not of what was sent. Each request with the part was placed like any other one, and once more after its target had ended. The crashes fall on different instances, so each of them knew only a few. Evidence: on the code before, `deadly_part` fails: '5 requests reached replicas' after five crashes and the time to agree, 3 are allowed. Ruled out: to count requests that ran at a crash (all but one are sound); the part with most crashes (it is the sound one here); a decision at one instance (it can be cut off); to forget a hold when an instance restarts. Change: a crash accuses the parts of requests that the target had not begun to answer. Crashes, last answers of parts near them, and holds travel in heartbeats. A part is held back after three crashes, 250 ms apart, without an answer since; of several, the one whose last answer is the oldest; crashes that a held part explains accuse no other. Requests with such a part get 422 at once. One instance tries the part after 15 s, then after 240 s, and so on; an answer releases it everywhere. Why it works: a part that crashes each target is never answered, a popular one is; every instance decides alike on the same events. Result: `deadly_part` (4.7 s) and 10 tests of `entry_quarantine` pass.

--- a/src/entry/heartbeat.rs
+++ b/src/entry/heartbeat.rs
@@ -1,5 +1,6 @@
 use serde::{Deserialize, Serialize};
 
+use super::quarantine::Report;
 use super::TargetKey;
 use crate::id::{DomainId, Incarnation, InstanceId, Offset};
 
@@ -63,6 +64,8 @@
     pub time: u64,
     /// Targets that the sender ejected, with the remaining time in milliseconds.
     pub suspects: Vec<(TargetKey, u32)>,
+    /// Parts of prompts at which targets crashed.
+    pub parts: Report,
 }
 
 impl Heartbeat {
@@ -77,6 +80,7 @@
         };
         self.rows == before.rows
             && self.ends == before.ends
+            && self.parts.repeats(&before.parts)
             && self.suspects.len() == before.suspects.len()
             && unfinished(self) == unfinished(before)
     }
--- a/src/entry/instance.rs
+++ b/src/entry/instance.rs
@@ -10,7 +10,8 @@
 use super::platform::{Decoder, Directive, Log, Targets, Topic};
 use super::{
     key, Budgets, ColdLimiter, Config, Directory, Engine, Fold, Health, Load, Members, Metrics,
-    Reachability, Record, Service, Settings, Slowdowns, Target, TargetKey, View,
+    PartKey, Quarantine, Reachability, Record, Service, Settings, Slowdowns, Target, TargetKey,
+    View,
 };
 use crate::clock::Clock;
 use crate::event;
@@ -34,6 +35,7 @@
     pub(super) slowdowns: RefCell<Slowdowns>,
     /// Metrics.
     pub metrics: Metrics,
+    pub(super) quarantine: RefCell<Quarantine>,
     pub(super) reachability: RefCell<Reachability>,
     pub(super) settings: RefCell<Settings>,
     pub(super) source: Source,
@@ -79,6 +81,7 @@
             slowdowns: RefCell::default(),
             source: Source::new(clock.clone(), &*settings.instance, &*settings.domain),
             clock,
+            quarantine: RefCell::default(),
             reachability: RefCell::default(),
             settings: RefCell::new(settings),
             refusing: Cell::new(false),
@@ -268,6 +271,25 @@
         self.view.borrow_mut().expire(now);
         self.directory.borrow_mut().expire(now);
         self.slowdowns.borrow_mut().expire(now);
+        let mut quarantine = self.quarantine.borrow_mut();
+        quarantine.expire(now);
+        self.metrics.held_parts.set(quarantine.held_count() as i64);
+    }
+
+    /// Logs parts that are held back from now on, and the targets that ended near them.
+    pub(super) fn report_held(&self, parts: &[PartKey]) {
+        for part in parts {
+            let targets = self.quarantine.borrow().crash_targets(*part);
+            let targets: Vec<String> = targets.into_iter().map(|key| format!("{key:x}")).collect();
+            event!(
+                warn,
+                self.source,
+                "part_held",
+                part = event::hex(*part),
+                crashes = targets.len(),
+                targets = targets.join(",")
+            );
+        }
     }
 
     fn apply_instance(&self, record: &Record) {
--- a/src/entry/metric.rs
+++ b/src/entry/metric.rs
@@ -16,6 +16,8 @@
     pub config_version: IntGauge,
     /// Seconds until the first event or the whole answer, by kind of route.
     pub first_event: HistogramVec,
+    /// Parts of prompts that are held back.
+    pub held_parts: IntGauge,
     /// Heartbeats sent.
     pub heartbeats: IntCounter,
     /// Calls to the log by topic and outcome.
@@ -41,6 +43,11 @@
         let r = &registry;
         Ok(Metrics {
             heartbeats: counter(r, "entry_beats_total", "Beats sent to other instances.")?,
+            held_parts: gauge(
+                r,
+                "entry_held_parts",
+                "Parts of prompts that are held back.",
+            )?,
             config_version: gauge(
                 r,
                 "entry_config_version",
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -26,6 +26,7 @@
 mod place;
 pub mod platform;
 mod probe;
+pub mod quarantine;
 mod reachability;
 mod relay;
 mod request;
@@ -53,6 +54,7 @@
 pub use metric::Metrics;
 pub use pick::pick;
 pub use place::{place, Choice, Helper, Placement, Requirements};
+pub use quarantine::Quarantine;
 pub use reachability::Reachability;
 pub use relay::Relay;
 pub use request::{Prompt, Request};
@@ -63,6 +65,16 @@
 /// Short form of a target's id in datagrams and tables: the low half of its hash.
 pub type TargetKey = u32;
 
+/// Short form of a prompt part's id at one service, in datagrams and tables.
+pub type PartKey = u64;
+
+/// The key of a prompt part at a service.
+pub fn part_key(service: &str, id: &str) -> PartKey {
+    use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+
+    xxh3_64_with_seed(id.as_bytes(), xxh3_64(service.as_bytes()))
+}
+
 /// The key of the target with this id.
 pub fn key(id: &str) -> TargetKey {
     xxhash_rust::xxh3::xxh3_64(id.as_bytes()) as TargetKey
--- a/src/entry/peer.rs
+++ b/src/entry/peer.rs
@@ -153,6 +153,7 @@
             .into_iter()
             .map(|(target, left)| (target, millis(left)))
             .collect(),
+        parts: instance.quarantine.borrow().report(now),
     }
 }
 
@@ -203,6 +204,11 @@
             now,
         );
     }
+    let held = instance
+        .quarantine
+        .borrow_mut()
+        .receive(&heartbeat.parts, now);
+    instance.report_held(&held);
     if heartbeat.domain != instance.settings.borrow().domain {
         // A target that another domain cannot reach may still be healthy and reachable from here.
         return;
--- a/src/entry/relay.rs
+++ b/src/entry/relay.rs
@@ -117,11 +117,17 @@
             }
             Read::Silent => Step::Broken(Failure::Silent),
             Read::Chunk(Some(Err(failure))) => Step::Broken(failure),
-            Read::Chunk(None) if self.events.is_whole() => Step::End,
+            Read::Chunk(None) if self.events.is_whole() => {
+                self.exchange.record_answer();
+                Step::End
+            }
             Read::Chunk(None) => Step::Broken(Failure::Broken),
             Read::Chunk(Some(Ok(bytes))) => match self.events.push(&bytes) {
                 Ok(events) => {
-                    self.has_progress |= !events.is_empty();
+                    if !events.is_empty() && !self.has_progress {
+                        self.has_progress = true;
+                        self.exchange.record_answer();
+                    }
                     self.measure(&events);
                     Step::Bytes(events)
                 }
--- a/src/entry/serve/mod.rs
+++ b/src/entry/serve/mod.rs
@@ -3,6 +3,7 @@
 mod find;
 mod in_flight;
 mod outcome;
+mod quarantine;
 mod record;
 mod send;
 mod target_end;
@@ -15,7 +16,9 @@
 
 use super::config::RouteKind;
 use super::platform::Failure;
-use super::{Answer, Content, Instance, Relay, Request, Route, Service, TargetKey};
+use super::{
+    part_key, Answer, Content, Instance, PartKey, Relay, Request, Route, Service, TargetKey,
+};
 use crate::error::Kind;
 use crate::event;
 use crate::id::WorkspaceId;
@@ -47,6 +50,8 @@
     pub(super) instance: Rc<Instance>,
     /// Time at which the request times out: the caller's deadline or the route's timeout, whichever is earlier.
     pub(super) deadline: Duration,
+    /// Parts of the prompt that other requests may have too.
+    parts: Vec<PartKey>,
     priority: u8,
     pub(super) request: Rc<Request>,
     pub(super) route: Rc<Route>,
@@ -166,6 +171,11 @@
         let Some(service) = service else {
             return Err((Kind::Unavailable, Some(RETRY_AFTER_UNAVAILABLE)));
         };
+        let parts = request.shared_parts.iter();
+        let parts: Vec<PartKey> = parts.map(|id| part_key(&service.name, id)).collect();
+        if self.is_refused(request, &parts) {
+            return Err((Kind::PartQuarantined, None));
+        }
         let timeout = request.deadline.unwrap_or(route.timeout).min(route.timeout);
         self.budgets
             .borrow_mut()
@@ -174,6 +184,7 @@
             arrival,
             instance: self.clone(),
             deadline: arrival + timeout,
+            parts,
             priority: workspace
                 .and_then(|workspace| workspace.priority)
                 .unwrap_or(route.priority),
@@ -205,6 +216,9 @@
                     return Err(given_up);
                 }
             };
+            if let Some(given_up) = self.check_parts() {
+                return Err(given_up);
+            }
             let (target, key) = (placement.primary.clone(), placement.primary.key());
             self.sends += 1;
             self.tried.push(key);
@@ -219,6 +233,9 @@
                 Outcome::Opened(opened) => return Ok(Ok(opened)),
                 Outcome::Answered(reply) => {
                     self.runs += 1;
+                    if reply.status.is_success() {
+                        self.record_answer();
+                    }
                     let is_final = !reply.status.is_server_error();
                     if is_final || !self.route.kind.is_repeatable() || last_event_id.is_some() {
                         return Ok(Err(reply));
--- a/src/entry/serve/target_end.rs
+++ b/src/entry/serve/target_end.rs
@@ -1,22 +1,23 @@
 use std::rc::Rc;
 
 use super::Exchange;
-use crate::entry::{Instance, Request, Target};
+use crate::entry::{Instance, PartKey, Request, Target};
 use crate::event;
 
 impl Exchange {
     /// Finds out whether a target ended when it should have begun to write the answer, since the broken connection may
     /// also have been reset alone.
     pub(in crate::entry) fn confirm_end(&self, target: &Rc<Target>) {
-        if self.request.shared_parts.is_empty() {
+        if self.parts.is_empty() {
             return;
         }
         let instance = self.instance.clone();
-        let (request, target) = (self.request.clone(), target.clone());
+        let (request, parts) = (self.request.clone(), self.parts.clone());
+        let target = target.clone();
         let executor = instance.executor.clone();
         let check = async move {
             if !instance.targets.probe(target.address).await {
-                instance.record_end(&request, &target);
+                instance.record_end(&request, &parts, &target);
             }
         };
         executor.spawn(check).detach();
@@ -26,7 +27,7 @@
 impl Instance {
     /// Records that a target ended before it wrote an answer to the request. A target that left on purpose says nothing
     /// about the request.
-    fn record_end(&self, request: &Request, target: &Target) {
+    fn record_end(&self, request: &Request, parts: &[PartKey], target: &Target) {
         let is_leaving = {
             let directory = self.directory.borrow();
             let known = directory.target(&target.id);
@@ -44,5 +45,12 @@
             target = target.id.as_str(),
             parts = request.shared_parts.join(",")
         );
+        let now = self.clock.now();
+        let held = self
+            .quarantine
+            .borrow_mut()
+            .record_crash(parts, target.key(), now);
+        self.report_held(&held);
+        self.request_heartbeat();
     }
 }
--- a/src/error/kind.rs
+++ b/src/error/kind.rs
@@ -68,6 +68,8 @@
     OutcomeUnknown "outcome_unknown" 502 Unknown false;
     /// A limit is reached.
     Overloaded "overloaded" 429 No true;
+    /// A part of the prompt crashed the targets that it was sent to.
+    PartQuarantined "part_quarantined" 422 No false;
     /// No progress within the stall timeout.
     Stalled "stalled" 504 Unknown false;
     /// The request is larger than allowed.
