--- a/http/tests/exchange.rs
+++ b/http/tests/exchange.rs
@@ -146,6 +146,28 @@
     });
 }
 
+/// Guards against requests that arrive after they were abandoned: bytes that a network fault holds up are delivered later
+/// unless the connection is reset.
+#[test]
+fn abandoned_request() {
+    smol::block_on(async {
+        let server = TcpListener::bind(any_port()).await.unwrap();
+        let address = server.local_addr().unwrap();
+        let client = Client::default();
+        let request = Client::request(Method::Post, address, "/").unwrap();
+        let call = client.stream(address, request);
+        let outcome = with_timeout(Duration::from_millis(200), call).await;
+        assert!(matches!(outcome, Err(Error::Timeout)));
+        let (mut connection, _) = server.accept().await.unwrap();
+        let mut buffer = [0; 1_024];
+        let mut read = connection.read(&mut buffer).await;
+        while read.as_ref().is_ok_and(|length| *length > 0) {
+            read = connection.read(&mut buffer).await;
+        }
+        assert!(read.is_err(), "the connection was closed, not reset");
+    });
+}
+
 /// Guards against a refused connection that counts as a request which may have been received.
 #[test]
 fn refused_connect() {
