entry: Keep quarantined parts over a restart of all instances

Callers would see: after a restart of all instances at the same time, requests with a part that is known to crash targets reach targets again, until enough crashes are counted anew. Cause: the holds were only in memory and in heartbeats. Ruled out: a topic of its own (a long poll more for each instance); every instance writes (as many calls as instances). Change: of the live instances, the one that owns the trials of a part writes a record under `part/` in the instances' topic, which is read at the start and fetched from others, and removes it after the release. Why it works: what must last is in the log; an instance that starts reads it before it serves.

--- a/src/entry/fold.rs
+++ b/src/entry/fold.rs
@@ -147,6 +147,12 @@
         records.cloned().collect()
     }
 
+    /// The keys that have a value, in order.
+    pub fn keys(&self) -> impl Iterator<Item = &str> {
+        let records = self.records.iter().filter(|record| record.value.is_some());
+        records.map(|record| record.key.as_str())
+    }
+
     /// The value of a key.
     pub fn value(&self, key: &str) -> Option<&[u8]> {
         let found = self
--- a/src/entry/follow.rs
+++ b/src/entry/follow.rs
@@ -39,8 +39,11 @@
             .spawn(async move { follow(&instance, topic).await })
             .detach();
     }
-    let instance = instance.clone();
     let executor = instance.executor.clone();
+    executor
+        .spawn(super::part_record::run(instance.clone()))
+        .detach();
+    let instance = instance.clone();
     executor
         .spawn(async move { register(&instance).await })
         .detach();
@@ -96,7 +99,7 @@
     read_instances(instance).await
 }
 
-async fn read_instances(instance: &Instance) -> Result<(), LogError> {
+pub(super) async fn read_instances(instance: &Instance) -> Result<(), LogError> {
     let batch = instance.log.newest(Topic::Instances).await?;
     count(instance, Topic::Instances.name(), "ok");
     instance.apply(Topic::Instances, batch.records, batch.end, true);
@@ -206,7 +209,7 @@
     (pause * 2).min(MAX_RETRY_PAUSE)
 }
 
-fn count(instance: &Instance, topic: &str, outcome: &str) {
+pub(super) fn count(instance: &Instance, topic: &str, outcome: &str) {
     instance
         .metrics
         .log_calls
--- a/src/entry/instance.rs
+++ b/src/entry/instance.rs
@@ -7,6 +7,7 @@
 use smol::LocalExecutor;
 
 use super::member::Entry;
+use super::part_record;
 use super::platform::{Decoder, Directive, Log, Targets, Topic};
 use super::{
     key, Budgets, ColdLimiter, Config, Directory, Engine, Fold, Health, Load, Members, Metrics,
@@ -273,7 +274,8 @@
         self.slowdowns.borrow_mut().expire(now);
         let mut quarantine = self.quarantine.borrow_mut();
         quarantine.expire(now);
-        self.metrics.held_parts.set(quarantine.held_count() as i64);
+        let held = quarantine.all_held();
+        self.metrics.held_parts.set(held.len() as i64);
     }
 
     /// Logs parts that are held back from now on, and the targets that ended near them.
@@ -293,6 +295,9 @@
     }
 
     fn apply_instance(&self, record: &Record) {
+        if let Some(part) = part_record::part(&record.key) {
+            return self.apply_part(part, record);
+        }
         let address = match &record.value {
             None => None,
             Some(value) => match rmp_serde::from_slice::<Entry>(value) {
@@ -305,6 +310,15 @@
         self.members.borrow_mut().apply(&record.key, address);
     }
 
+    /// Holds back a part that is recorded as held. Its removal changes nothing: answers release a part.
+    fn apply_part(&self, part: PartKey, record: &Record) {
+        let now = self.clock.now();
+        let is_new = record.value.is_some() && self.quarantine.borrow_mut().restore(part, now);
+        if is_new {
+            self.report_held(&[part]);
+        }
+    }
+
     fn apply_directive(&self, record: &Record) {
         match self.decoder.directive(record) {
             Ok(Some(Directive::Config(config, faults))) => {
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -21,6 +21,7 @@
 mod load;
 mod member;
 mod metric;
+mod part_record;
 mod peer;
 mod pick;
 mod place;
--- a/src/entry/quarantine.rs
+++ b/src/entry/quarantine.rs
@@ -259,9 +259,21 @@
         crashes.iter().map(|seen| seen.target).collect()
     }
 
-    /// Number of parts that are held back.
-    pub fn held_count(&self) -> usize {
-        self.parts.iter().filter(|part| part.hold.is_some()).count()
+    /// All parts that are held back, sorted.
+    pub fn all_held(&self) -> Vec<PartKey> {
+        let held = self.parts.iter().filter(|part| part.hold.is_some());
+        held.map(|part| part.key).collect()
+    }
+
+    /// Holds back a part that was held back before a restart; false if it is held back already.
+    pub fn restore(&mut self, key: PartKey, now: Duration) -> bool {
+        let left_ms = hold_time(0).as_millis() as u32;
+        let hold = Hold {
+            left_ms,
+            part: key,
+            trials: 0,
+        };
+        self.adopt(&hold, now)
     }
 
     /// Removes crashes that are too old to count.
--- a/src/entry/serve/quarantine.rs
+++ b/src/entry/serve/quarantine.rs
@@ -74,7 +74,7 @@
     }
 
     /// Whether this instance sends the trials of a part: of all live instances, it has the highest hash.
-    fn owns_trials(&self, part: PartKey) -> bool {
+    pub(in crate::entry) fn owns_trials(&self, part: PartKey) -> bool {
         let weight = |name: &str| xxh3_64_with_seed(name.as_bytes(), part);
         let own = weight(&self.settings.borrow().instance);
         let members = self.members.borrow();
