entry: Name fragments of prompts apart from parts of a prefill

Cause: 'part' means the share of a prompt that one engine prefills, and 'hold' memory of a gang; the quarantine used both words for something else, so a reader of placement and quarantine together could not tell them apart. Ruled out: segment, which the daemon uses for requests.

--- a/src/entry/follow.rs
+++ b/src/entry/follow.rs
@@ -41,7 +41,7 @@
     }
     let executor = instance.executor.clone();
     executor
-        .spawn(super::part_record::run(instance.clone()))
+        .spawn(super::fragment_record::run(instance.clone()))
         .detach();
     let instance = instance.clone();
     executor
--- a/src/entry/heartbeat.rs
+++ b/src/entry/heartbeat.rs
@@ -64,8 +64,8 @@
     pub time: u64,
     /// Targets that the sender ejected, with the remaining time in milliseconds.
     pub suspects: Vec<(TargetKey, u32)>,
-    /// Parts of prompts at which targets crashed.
-    pub parts: Report,
+    /// Fragments of prompts at which targets crashed.
+    pub fragments: Report,
 }
 
 impl Heartbeat {
@@ -80,7 +80,7 @@
         };
         self.rows == before.rows
             && self.ends == before.ends
-            && self.parts.repeats(&before.parts)
+            && self.fragments.repeats(&before.fragments)
             && self.suspects.len() == before.suspects.len()
             && unfinished(self) == unfinished(before)
     }
--- a/src/entry/instance.rs
+++ b/src/entry/instance.rs
@@ -6,12 +6,12 @@
 use async_channel::{Receiver, Sender};
 use smol::LocalExecutor;
 
+use super::fragment_record;
 use super::member::Entry;
-use super::part_record;
 use super::platform::{Decoder, Directive, Log, Targets, Topic};
 use super::{
-    key, Budgets, ColdLimiter, Config, Directory, Engine, Fold, Health, Load, Members, Metrics,
-    PartKey, Quarantine, Reachability, Record, Service, Settings, Slowdowns, Target, TargetKey,
+    key, Budgets, ColdLimiter, Config, Directory, Engine, Fold, FragmentKey, Health, Load, Members,
+    Metrics, Quarantine, Reachability, Record, Service, Settings, Slowdowns, Target, TargetKey,
     View,
 };
 use crate::clock::Clock;
@@ -274,20 +274,20 @@
         self.slowdowns.borrow_mut().expire(now);
         let mut quarantine = self.quarantine.borrow_mut();
         quarantine.expire(now);
-        let held = quarantine.all_held();
-        self.metrics.held_parts.set(held.len() as i64);
+        let banned = quarantine.all_banned();
+        self.metrics.banned_fragments.set(banned.len() as i64);
     }
 
-    /// Logs parts that are held back from now on, and the targets that ended near them.
-    pub(super) fn report_held(&self, parts: &[PartKey]) {
-        for part in parts {
-            let targets = self.quarantine.borrow().crash_targets(*part);
+    /// Logs fragments that are banned from now on, and the targets that ended near them.
+    pub(super) fn report_banned(&self, fragments: &[FragmentKey]) {
+        for fragment in fragments {
+            let targets = self.quarantine.borrow().crash_targets(*fragment);
             let targets: Vec<String> = targets.into_iter().map(|key| format!("{key:x}")).collect();
             event!(
                 warn,
                 self.source,
-                "part_held",
-                part = event::hex(*part),
+                "fragment_banned",
+                fragment = event::hex(*fragment),
                 crashes = targets.len(),
                 targets = targets.join(",")
             );
@@ -295,8 +295,8 @@
     }
 
     fn apply_instance(&self, record: &Record) {
-        if let Some(part) = part_record::part(&record.key) {
-            return self.apply_part(part, record);
+        if let Some(fragment) = fragment_record::fragment(&record.key) {
+            return self.apply_fragment(fragment, record);
         }
         let address = match &record.value {
             None => None,
@@ -310,12 +310,12 @@
         self.members.borrow_mut().apply(&record.key, address);
     }
 
-    /// Holds back a part that is recorded as held. Its removal changes nothing: answers release a part.
-    fn apply_part(&self, part: PartKey, record: &Record) {
+    /// Bans a fragment that is recorded as banned. Its removal changes nothing: answers release a fragment.
+    fn apply_fragment(&self, fragment: FragmentKey, record: &Record) {
         let now = self.clock.now();
-        let is_new = record.value.is_some() && self.quarantine.borrow_mut().restore(part, now);
+        let is_new = record.value.is_some() && self.quarantine.borrow_mut().restore(fragment, now);
         if is_new {
-            self.report_held(&[part]);
+            self.report_banned(&[fragment]);
         }
     }
 
--- a/src/entry/metric.rs
+++ b/src/entry/metric.rs
@@ -12,12 +12,12 @@
 /// Metrics of an entry instance. `docs/metrics-entry.md` lists them.
 #[derive(Clone, Debug)]
 pub struct Metrics {
+    /// Fragments of prompts that are banned.
+    pub banned_fragments: IntGauge,
     /// Version of the configuration in force.
     pub config_version: IntGauge,
     /// Seconds until the first event or the whole answer, by kind of route.
     pub first_event: HistogramVec,
-    /// Parts of prompts that are held back.
-    pub held_parts: IntGauge,
     /// Heartbeats sent.
     pub heartbeats: IntCounter,
     /// Calls to the log by topic and outcome.
@@ -43,10 +43,10 @@
         let r = &registry;
         Ok(Metrics {
             heartbeats: counter(r, "entry_beats_total", "Beats sent to other instances.")?,
-            held_parts: gauge(
+            banned_fragments: gauge(
                 r,
-                "entry_held_parts",
-                "Parts of prompts that are held back.",
+                "entry_banned_fragments",
+                "Fragments of prompts that are banned.",
             )?,
             config_version: gauge(
                 r,
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -15,13 +15,13 @@
 mod events;
 mod fold;
 mod follow;
+mod fragment_record;
 mod health;
 mod heartbeat;
 mod instance;
 mod load;
 mod member;
 mod metric;
-mod part_record;
 mod peer;
 mod pick;
 mod place;
@@ -66,11 +66,11 @@
 /// Short form of a target's id in datagrams and tables: the low half of its hash.
 pub type TargetKey = u32;
 
-/// Short form of a prompt part's id at one service, in datagrams and tables.
-pub type PartKey = u64;
+/// Short form of a prompt fragment's id at one service, in datagrams and tables.
+pub type FragmentKey = u64;
 
-/// The key of a prompt part at a service.
-pub fn part_key(service: &str, id: &str) -> PartKey {
+/// The key of a prompt fragment at a service.
+pub fn fragment_key(service: &str, id: &str) -> FragmentKey {
     use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
     xxh3_64_with_seed(id.as_bytes(), xxh3_64(service.as_bytes()))
--- a/src/entry/peer.rs
+++ b/src/entry/peer.rs
@@ -153,7 +153,7 @@
             .into_iter()
             .map(|(target, left)| (target, millis(left)))
             .collect(),
-        parts: instance.quarantine.borrow().report(now),
+        fragments: instance.quarantine.borrow().report(now),
     }
 }
 
@@ -204,11 +204,11 @@
             now,
         );
     }
-    let held = instance
+    let banned = instance
         .quarantine
         .borrow_mut()
-        .receive(&heartbeat.parts, now);
-    instance.report_held(&held);
+        .receive(&heartbeat.fragments, now);
+    instance.report_banned(&banned);
     if heartbeat.domain != instance.settings.borrow().domain {
         // A target that another domain cannot reach may still be healthy and reachable from here.
         return;
--- a/src/entry/request.rs
+++ b/src/entry/request.rs
@@ -39,8 +39,8 @@
     pub path_and_query: String,
     /// Size of the prompt, for requests to engines.
     pub prompt: Option<Prompt>,
-    /// Ids of the prompt's parts that other requests may have too.
-    pub shared_parts: Vec<String>,
+    /// Ids of the prompt's fragments that other requests may have too.
+    pub shared_fragments: Vec<String>,
 }
 
 impl Default for Request {
@@ -57,7 +57,7 @@
             path: "/".into(),
             path_and_query: "/".into(),
             prompt: None,
-            shared_parts: Vec::new(),
+            shared_fragments: Vec::new(),
         }
     }
 }
--- a/src/entry/serve/mod.rs
+++ b/src/entry/serve/mod.rs
@@ -17,7 +17,7 @@
 use super::config::RouteKind;
 use super::platform::Failure;
 use super::{
-    part_key, Answer, Content, Instance, PartKey, Relay, Request, Route, Service, TargetKey,
+    fragment_key, Answer, Content, FragmentKey, Instance, Relay, Request, Route, Service, TargetKey,
 };
 use crate::error::Kind;
 use crate::event;
@@ -50,8 +50,8 @@
     pub(super) instance: Rc<Instance>,
     /// Time at which the request times out: the caller's deadline or the route's timeout, whichever is earlier.
     pub(super) deadline: Duration,
-    /// Parts of the prompt that other requests may have too.
-    parts: Vec<PartKey>,
+    /// Fragments of the prompt that other requests may have too.
+    fragments: Vec<FragmentKey>,
     priority: u8,
     pub(super) request: Rc<Request>,
     pub(super) route: Rc<Route>,
@@ -171,10 +171,12 @@
         let Some(service) = service else {
             return Err((Kind::Unavailable, Some(RETRY_AFTER_UNAVAILABLE)));
         };
-        let parts = request.shared_parts.iter();
-        let parts: Vec<PartKey> = parts.map(|id| part_key(&service.name, id)).collect();
-        if self.is_refused(request, &parts) {
-            return Err((Kind::PartQuarantined, None));
+        let fragments = request.shared_fragments.iter();
+        let fragments: Vec<FragmentKey> = fragments
+            .map(|id| fragment_key(&service.name, id))
+            .collect();
+        if self.is_refused(request, &fragments) {
+            return Err((Kind::FragmentBanned, None));
         }
         let timeout = request.deadline.unwrap_or(route.timeout).min(route.timeout);
         self.budgets
@@ -184,7 +186,7 @@
             arrival,
             instance: self.clone(),
             deadline: arrival + timeout,
-            parts,
+            fragments,
             priority: workspace
                 .and_then(|workspace| workspace.priority)
                 .unwrap_or(route.priority),
@@ -216,7 +218,7 @@
                     return Err(given_up);
                 }
             };
-            if let Some(given_up) = self.check_parts() {
+            if let Some(given_up) = self.check_fragments() {
                 return Err(given_up);
             }
             let (target, key) = (placement.primary.clone(), placement.primary.key());
--- a/src/entry/serve/quarantine.rs
+++ b/src/entry/serve/quarantine.rs
@@ -2,26 +2,26 @@
 
 use super::outcome::GivenUp;
 use super::Exchange;
-use crate::entry::{Instance, PartKey, Request};
+use crate::entry::{FragmentKey, Instance, Request};
 use crate::error::Kind;
 use crate::event;
 
-/// The id of the part with this key, as the caller names it.
-fn id<'a>(request: &'a Request, parts: &[PartKey], key: PartKey) -> &'a str {
-    let at = parts.iter().position(|part| *part == key);
-    let id = at.and_then(|at| request.shared_parts.get(at));
+/// The id of the fragment with this key, as the caller names it.
+fn id<'a>(request: &'a Request, fragments: &[FragmentKey], key: FragmentKey) -> &'a str {
+    let at = fragments.iter().position(|fragment| *fragment == key);
+    let id = at.and_then(|at| request.shared_fragments.get(at));
     id.map_or("", String::as_str)
 }
 
 impl Exchange {
-    /// The error for a request with a part that is held back, checked before each send. A request that is sent as a
+    /// The error for a request with a fragment that is banned, checked before each send. A request that is sent as a
     /// trial begins it.
-    pub(super) fn check_parts(&self) -> Option<GivenUp> {
+    pub(super) fn check_fragments(&self) -> Option<GivenUp> {
         let instance = &self.instance;
-        if instance.is_refused(&self.request, &self.parts) {
+        if instance.is_refused(&self.request, &self.fragments) {
             // An earlier send may have run, so the error must not report that the request was not run.
             let kind = match self.runs {
-                0 => Kind::PartQuarantined,
+                0 => Kind::FragmentBanned,
                 _ => Kind::UpstreamFailed,
             };
             return Some(GivenUp {
@@ -31,51 +31,51 @@
             });
         }
         let mut quarantine = instance.quarantine.borrow_mut();
-        if let Some(held) = quarantine.held(&self.parts) {
-            quarantine.begin_trial(&self.parts, instance.clock.now());
+        if let Some(banned) = quarantine.banned(&self.fragments) {
+            quarantine.begin_trial(&self.fragments, instance.clock.now());
             event!(
                 warn,
                 instance.source,
-                "part_tried",
+                "fragment_tried",
                 request = self.request.id.as_str(),
-                part = id(&self.request, &self.parts, held)
+                fragment = id(&self.request, &self.fragments, banned)
             );
             instance.request_heartbeat();
         }
         None
     }
 
-    /// Records that a target wrote an answer on the parts of the prompt.
+    /// Records that a target wrote an answer on the fragments of the prompt.
     pub(in crate::entry) fn record_answer(&self) {
         let instance = &self.instance;
         let now = instance.clock.now();
         let mut quarantine = instance.quarantine.borrow_mut();
-        quarantine.record_answer(&self.parts, now);
+        quarantine.record_answer(&self.fragments, now);
     }
 }
 
 impl Instance {
-    /// Whether a request with these parts must not be sent. Only one instance sends trials.
-    pub(super) fn is_refused(&self, request: &Request, parts: &[PartKey]) -> bool {
+    /// Whether a request with these fragments must not be sent. Only one instance sends trials.
+    pub(super) fn is_refused(&self, request: &Request, fragments: &[FragmentKey]) -> bool {
         let quarantine = self.quarantine.borrow();
-        let Some(held) = quarantine.held(parts) else {
+        let Some(banned) = quarantine.banned(fragments) else {
             return false;
         };
-        if quarantine.is_trial_due(parts, self.clock.now()) && self.owns_trials(held) {
+        if quarantine.is_trial_due(fragments, self.clock.now()) && self.owns_trials(banned) {
             return false;
         }
         event!(
             self.source,
-            "part_refused",
+            "fragment_refused",
             request = request.id.as_str(),
-            part = id(request, parts, held)
+            fragment = id(request, fragments, banned)
         );
         true
     }
 
-    /// Whether this instance sends the trials of a part: of all live instances, it has the highest hash.
-    pub(in crate::entry) fn owns_trials(&self, part: PartKey) -> bool {
-        let weight = |name: &str| xxh3_64_with_seed(name.as_bytes(), part);
+    /// Whether this instance sends the trials of a fragment: of all live instances, it has the highest hash.
+    pub(in crate::entry) fn owns_trials(&self, fragment: FragmentKey) -> bool {
+        let weight = |name: &str| xxh3_64_with_seed(name.as_bytes(), fragment);
         let own = weight(&self.settings.borrow().instance);
         let members = self.members.borrow();
         let mut live = members.live(self.clock.now());
--- a/src/entry/serve/target_end.rs
+++ b/src/entry/serve/target_end.rs
@@ -1,23 +1,23 @@
 use std::rc::Rc;
 
 use super::Exchange;
-use crate::entry::{Instance, PartKey, Request, Target};
+use crate::entry::{FragmentKey, Instance, Request, Target};
 use crate::event;
 
 impl Exchange {
     /// Finds out whether a target ended when it should have begun to write the answer, since the broken connection may
     /// also have been reset alone.
     pub(in crate::entry) fn confirm_end(&self, target: &Rc<Target>) {
-        if self.parts.is_empty() {
+        if self.fragments.is_empty() {
             return;
         }
         let instance = self.instance.clone();
-        let (request, parts) = (self.request.clone(), self.parts.clone());
+        let (request, fragments) = (self.request.clone(), self.fragments.clone());
         let target = target.clone();
         let executor = instance.executor.clone();
         let check = async move {
             if !instance.targets.probe(target.address).await {
-                instance.record_end(&request, &parts, &target);
+                instance.record_end(&request, &fragments, &target);
             }
         };
         executor.spawn(check).detach();
@@ -27,7 +27,7 @@
 impl Instance {
     /// Records that a target ended before it wrote an answer to the request. A target that left on purpose says nothing
     /// about the request.
-    fn record_end(&self, request: &Request, parts: &[PartKey], target: &Target) {
+    fn record_end(&self, request: &Request, fragments: &[FragmentKey], target: &Target) {
         let is_leaving = {
             let directory = self.directory.borrow();
             let known = directory.target(&target.id);
@@ -43,14 +43,14 @@
             "target_ended",
             request = request.id.as_str(),
             target = target.id.as_str(),
-            parts = request.shared_parts.join(",")
+            fragments = request.shared_fragments.join(",")
         );
         let now = self.clock.now();
-        let held = self
+        let banned = self
             .quarantine
             .borrow_mut()
-            .record_crash(parts, target.key(), now);
-        self.report_held(&held);
+            .record_crash(fragments, target.key(), now);
+        self.report_banned(&banned);
         self.request_heartbeat();
     }
 }
--- a/src/error/kind.rs
+++ b/src/error/kind.rs
@@ -58,6 +58,8 @@
     DeadlineRefused "deadline_refused" 503 No true;
     /// The workspace is not granted the model, adapter or version.
     Forbidden "forbidden" 403 No false;
+    /// Targets crashed at a fragment of the prompt.
+    FragmentBanned "fragment_banned" 422 No false;
     /// An internal error of this process.
     Internal "internal" 500 Unknown false;
     /// The idempotency key has expired or has a time in the future.
@@ -68,8 +70,6 @@
     OutcomeUnknown "outcome_unknown" 502 Unknown false;
     /// A limit is reached.
     Overloaded "overloaded" 429 No true;
-    /// A part of the prompt crashed the targets that it was sent to.
-    PartQuarantined "part_quarantined" 422 No false;
     /// No progress within the stall timeout.
     Stalled "stalled" 504 Unknown false;
     /// The request is larger than allowed.
--- a/tests/entry_quarantine.rs
+++ b/tests/entry_quarantine.rs
@@ -1,5 +1,5 @@
-//! Guards against requests that crash one target after the other because of a part of their prompts, and against holding
-//! back other parts that stand near the crashes.
+//! Guards against requests that crash one target after the other because of a fragment of their prompts, and against
+//! bans of other fragments near the crashes.
 
 mod entry_fixtures;
 
@@ -7,15 +7,15 @@
 
 use entry_fixtures::ms;
 use jujubehook::entry::quarantine::{Quarantine, Report};
-use jujubehook::entry::{PartKey, TargetKey};
+use jujubehook::entry::{FragmentKey, TargetKey};
 
-/// The part that crashes targets.
-const DEADLY: PartKey = 1;
+/// The fragment that crashes targets.
+const DEADLY: FragmentKey = 1;
 
-/// A part that all crashing requests share with sound ones.
-const POPULAR: PartKey = 2;
+/// A fragment that all crashing requests share with sound ones.
+const POPULAR: FragmentKey = 2;
 
-/// Maximum time until all instances hold back a part after its fifth crash: `stableWindowMs` of the deployments.
+/// Maximum time until all instances ban a fragment after its fifth crash: `stableWindowMs` of the deployments.
 const AGREEMENT: Duration = Duration::from_secs(3);
 
 /// Instances that exchange reports.
@@ -32,16 +32,16 @@
         }
     }
 
-    /// A target ends that had requests with these parts from these instances.
-    fn crash(&mut self, requests: &[(usize, &[PartKey])], now: Duration) {
+    /// A target ends that had requests with these fragments from these instances.
+    fn crash(&mut self, requests: &[(usize, &[FragmentKey])], now: Duration) {
         self.next_target += 1;
-        for (at, parts) in requests {
-            self.instances[*at].record_crash(parts, self.next_target, now);
+        for (at, fragments) in requests {
+            self.instances[*at].record_crash(fragments, self.next_target, now);
         }
     }
 
-    fn answer(&mut self, at: usize, parts: &[PartKey], now: Duration) {
-        self.instances[at].record_answer(parts, now);
+    fn answer(&mut self, at: usize, fragments: &[FragmentKey], now: Duration) {
+        self.instances[at].record_answer(fragments, now);
     }
 
     /// Each instance receives the reports of all others.
@@ -56,14 +56,14 @@
         }
     }
 
-    /// The number of instances that hold back a part.
-    fn holding(&self, part: PartKey) -> usize {
-        let holding = |own: &&Quarantine| own.held(&[part]).is_some();
-        self.instances.iter().filter(holding).count()
+    /// The number of instances that ban a fragment.
+    fn banning(&self, fragment: FragmentKey) -> usize {
+        let banning = |own: &&Quarantine| own.banned(&[fragment]).is_some();
+        self.instances.iter().filter(banning).count()
     }
 }
 
-/// Each crash falls on another instance. All of them hold back the part in time, and not the popular part that every
+/// Each crash falls on another instance. All of them ban the fragment in time, and not the popular fragment that every
 /// crashing request has too.
 #[test]
 fn crashes_are_added_up() {
@@ -82,30 +82,30 @@
         now += ms(130);
     }
     let fifth = now - ms(130);
-    while fleet.holding(DEADLY) < 13 {
+    while fleet.banning(DEADLY) < 13 {
         fleet.crash(&[(0, &[POPULAR, DEADLY])], now);
         fleet.exchange(now + ms(70));
         now += ms(130);
-        assert!(now < fifth + AGREEMENT, "{} agree", fleet.holding(DEADLY));
+        assert!(now < fifth + AGREEMENT, "{} agree", fleet.banning(DEADLY));
     }
-    assert_eq!(fleet.holding(POPULAR), 0);
-    assert!((100..105).all(|part| fleet.holding(part) == 0));
+    assert_eq!(fleet.banning(POPULAR), 0);
+    assert!((100..105).all(|fragment| fleet.banning(fragment) == 0));
 }
 
-/// A part of many requests is near crashes that other requests cause, but it is answered in between.
+/// A fragment of many requests is near crashes that other requests cause, but it is answered in between.
 #[test]
-fn answered_part_is_not_held() {
+fn answered_fragment_is_not_held() {
     let mut fleet = Fleet::new(3);
     for round in 0..50 {
         let now = ms(1_000 + round * 400);
         fleet.crash(&[(0, &[POPULAR])], now);
         fleet.answer(1, &[POPULAR], now + ms(200));
         fleet.exchange(now + ms(300));
-        assert_eq!(fleet.holding(POPULAR), 0, "after {round} crashes");
+        assert_eq!(fleet.banning(POPULAR), 0, "after {round} crashes");
     }
 }
 
-/// A fault that ends many targets at once says nothing about the parts of their requests.
+/// A fault that ends many targets at once says nothing about the fragments of their requests.
 #[test]
 fn common_fault_accuses_nothing() {
     let mut fleet = Fleet::new(3);
@@ -113,23 +113,23 @@
         fleet.crash(&[(crash % 3, &[POPULAR])], ms(1_000 + crash as u64 * 15));
     }
     fleet.exchange(ms(1_300));
-    assert_eq!(fleet.holding(POPULAR), 0);
+    assert_eq!(fleet.banning(POPULAR), 0);
 }
 
 /// One crash that several instances see, each with a request of its own, counts once.
 #[test]
 fn one_crash_counts_once() {
     let mut fleet = Fleet::new(13);
-    let requests: Vec<(usize, &[PartKey])> = (0..13).map(|at| (at, &[DEADLY][..])).collect();
+    let requests: Vec<(usize, &[FragmentKey])> = (0..13).map(|at| (at, &[DEADLY][..])).collect();
     fleet.crash(&requests, ms(1_000));
     for round in 0..20 {
         fleet.exchange(ms(1_000 + round * 400));
     }
-    assert_eq!(fleet.holding(DEADLY), 0);
+    assert_eq!(fleet.banning(DEADLY), 0);
 }
 
-/// The instances that answered on the popular part report it only after others have held it back: the hold moves to
-/// the part that was never answered, everywhere.
+/// The instances that answered on the popular fragment report it only after others have banned it: the ban moves to
+/// the fragment that was never answered, everywhere.
 #[test]
 fn late_answers_correct_the_hold() {
     let mut fleet = Fleet::new(3);
@@ -140,40 +140,44 @@
     for round in 0..4 {
         fleet.exchange(ms(2_000 + round * 100));
     }
-    assert_eq!((fleet.holding(DEADLY), fleet.holding(POPULAR)), (3, 0));
+    assert_eq!((fleet.banning(DEADLY), fleet.banning(POPULAR)), (3, 0));
 }
 
-/// Two parts crash targets at the same time; both are held back.
+/// Two fragments crash targets at the same time; both are banned.
 #[test]
-fn two_parts_are_found() {
+fn two_fragments_are_found() {
     let mut fleet = Fleet::new(3);
     for crash in 0..8 {
         let now = ms(1_000 + crash * 300);
-        let part = if crash % 2 == 0 { DEADLY } else { DEADLY + 10 };
-        fleet.crash(&[(crash as usize % 3, &[part]), (0, &[50 + crash])], now);
+        let fragment = if crash % 2 == 0 { DEADLY } else { DEADLY + 10 };
+        fleet.crash(
+            &[(crash as usize % 3, &[fragment]), (0, &[50 + crash])],
+            now,
+        );
         fleet.exchange(now + ms(70));
     }
-    assert_eq!(fleet.holding(DEADLY), 3);
-    assert_eq!(fleet.holding(DEADLY + 10), 3);
-    assert!((50..58).all(|part| fleet.holding(part) == 0));
+    assert_eq!(fleet.banning(DEADLY), 3);
+    assert_eq!(fleet.banning(DEADLY + 10), 3);
+    assert!((50..58).all(|fragment| fleet.banning(fragment) == 0));
 }
 
-/// An instance that restarts has no memory; it learns from the others' next reports what is held back.
+/// An instance that restarts has no memory; it learns from the others' next reports what is banned.
 #[test]
 fn restarted_instance_learns() {
     let mut fleet = Fleet::new(3);
-    hold(&mut fleet, DEADLY);
+    ban(&mut fleet, DEADLY);
     fleet.instances[1] = Quarantine::default();
     let now = ms(70_000);
     fleet.exchange(now);
-    assert_eq!(fleet.holding(DEADLY), 3);
+    assert_eq!(fleet.banning(DEADLY), 3);
 }
 
-/// A part is released everywhere after a trial was answered, and stays released although others still report the hold.
+/// A fragment is released everywhere after a trial was answered, and stays released although others still report the
+/// ban.
 #[test]
 fn answered_trial_releases() {
     let mut fleet = Fleet::new(3);
-    let since = hold(&mut fleet, DEADLY);
+    let since = ban(&mut fleet, DEADLY);
     let due = since + Duration::from_secs(20);
     assert!(!fleet.instances[0].is_trial_due(&[DEADLY], since));
     assert!(fleet.instances[0].is_trial_due(&[DEADLY], due));
@@ -184,11 +188,11 @@
     for round in 0..40 {
         fleet.exchange(due + ms(150 + round * 400));
     }
-    assert_eq!(fleet.holding(DEADLY), 0);
+    assert_eq!(fleet.banning(DEADLY), 0);
 }
 
-/// A part that goes on crashing costs one target for each trial. Of the three requests that may reach targets after the
-/// agreement, at most two are trials within an hour.
+/// A fragment that goes on crashing costs one target for each trial. Of the three requests that may reach targets after
+/// the agreement, at most two are trials within an hour.
 #[test]
 fn trials_get_rarer() {
     let mut own = Quarantine::default();
@@ -208,7 +212,7 @@
     assert!((1..=2).contains(&trials.len()), "{trials:?}");
 }
 
-/// Callers choose the ids of parts. Neither the memory nor the reports grow with their number.
+/// Callers choose the ids of fragments. Neither the memory nor the reports grow with their number.
 #[test]
 fn reports_are_bounded() {
     let mut own = Quarantine::default();
@@ -222,14 +226,14 @@
     assert!(bytes <= 4_096, "{bytes} bytes");
 }
 
-/// Three crashes with a part on different instances, known to all; returns the time of the last one.
-fn hold(fleet: &mut Fleet, part: PartKey) -> Duration {
+/// Three crashes with a fragment on different instances, known to all; returns the time of the last one.
+fn ban(fleet: &mut Fleet, fragment: FragmentKey) -> Duration {
     let mut now = ms(1_000);
     for crash in 0..3 {
         now += ms(300);
-        fleet.crash(&[(crash, &[part])], now);
+        fleet.crash(&[(crash, &[fragment])], now);
         fleet.exchange(now + ms(50));
     }
-    assert_eq!(fleet.holding(part), fleet.instances.len());
+    assert_eq!(fleet.banning(fragment), fleet.instances.len());
     now
 }
