entry: Leave silent connections to a target together

Callers would see: requests that wait on one silent connection after the other and end with 504, for as long as idle connections are kept (20 s), after a network fault that ends connections without a reset. Cause: a request that gets no answer on an idle connection is retried on the next idle one to the same target, which fell silent at the same time. Evidence: `silent_replica` fails on the code before: 'HTTP/1.1 504 Gateway Timeout' with one replica that serves new connections. Ruled out: a new connection for each retry, which costs one where only the target is slow; here only idle connections close. Change: when a target was silent, its idle connections are closed. Why it works: the next request to it opens a connection. Result: `silent_replica` passes three times in a row (1.1 s). A request that may run at most once still waits on the first silent connection to its deadline: nothing tells it from a slow target.

--- a/src/entry/platform.rs
+++ b/src/entry/platform.rs
@@ -101,6 +101,9 @@
 
 /// Connections to targets.
 pub trait Targets {
+    /// Closes the idle connections to an address, because another connection to it is silent.
+    fn discard(&self, address: SocketAddr);
+
     /// Whether the address accepts a new connection in time.
     fn probe(&self, address: SocketAddr) -> LocalBoxFuture<'_, bool>;
 
--- a/src/entry/relay.rs
+++ b/src/entry/relay.rs
@@ -174,6 +174,7 @@
         self.exchange.count_run();
         if failure == Failure::Silent {
             instance.health.borrow_mut().eject(key, now);
+            instance.targets.discard(self.target.address);
         } else {
             instance.health.borrow_mut().record(key, false, now);
             // The target cancelled the request when the connection broke.
--- a/src/entry/serve/record.rs
+++ b/src/entry/serve/record.rs
@@ -38,6 +38,7 @@
         };
         match outcome {
             Outcome::Failed(Failure::Unreachable) => instance.mark_unreachable(target),
+            Outcome::Failed(Failure::Silent) => instance.targets.discard(target.address),
             Outcome::Opened(_) | Outcome::Answered(_) => instance.mark_reachable(target),
             Outcome::Failed(_) | Outcome::NoMemory | Outcome::NotRun(_) => {}
         }
--- a/tests/entry_memory.rs
+++ b/tests/entry_memory.rs
@@ -53,6 +53,8 @@
 }
 
 impl Targets for Engines {
+    fn discard(&self, _: SocketAddr) {}
+
     fn probe(&self, _: SocketAddr) -> LocalBoxFuture<'_, bool> {
         Box::pin(async { true })
     }
