entry: Split the quarantine by type

Cause: one file of 490 lines held the container, its entries, the terms of bans and the messages. Change: a folder with a file each; terms and entries do their own part. Test names say what crashes and what is checked. Ruled out: to merge the reported crash with the remembered one, which differ in clock and origin.

--- a/src/entry/quarantine.rs
+++ b/src/entry/quarantine/mod.rs
@@ -1,10 +1,15 @@
 //! Fragments of prompts at which targets crash.
 
-use std::time::Duration;
+mod fragment;
+mod report;
+mod term;
 
-use serde::{Deserialize, Serialize};
+use std::time::Duration;
 
 use super::{FragmentKey, TargetKey};
+use fragment::{Fragment, Observation};
+pub use report::{Ban, Crash, Report};
+use term::Term;
 
 /// Number of crashes with a fragment after which it is banned.
 const CRASHES: usize = 3;
@@ -12,27 +17,12 @@
 /// Minimum time between two crashes that count: a fault that ends many targets at once says nothing about a fragment.
 const CRASH_INTERVAL: Duration = Duration::from_millis(250);
 
-/// Time within which reports of the end of one target are about the same crash.
-const SAME_CRASH: Duration = Duration::from_secs(2);
-
 /// Time for which a crash counts.
 const CRASH_LIFETIME: Duration = Duration::from_secs(60);
 
 /// Time for which an instance reports a crash that it saw; several heartbeats may be lost meanwhile.
 const REPORT_TIME: Duration = Duration::from_secs(10);
 
-/// Time from the beginning of a ban to the first trial.
-const FIRST_BAN: Duration = Duration::from_secs(15);
-
-/// Maximum time to the next trial.
-const MAX_BAN: Duration = Duration::from_secs(3_600);
-
-/// Factor by which each failed trial extends the time to the next one.
-const BAN_FACTOR: u32 = 16;
-
-/// Maximum number of crashes that are remembered of a fragment, the latest ones.
-const MAX_CRASHES: usize = 32;
-
 /// Maximum number of fragments with crashes or bans.
 const MAX_FRAGMENTS: usize = 256;
 
@@ -42,58 +32,6 @@
 /// Maximum number of crashes, of answers and of bans in a report.
 const MAX_REPORTED: usize = 64;
 
-/// A target that ended when it should have begun to write an answer on a fragment.
-#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct Crash {
-    /// Time since the end, in milliseconds.
-    pub age_ms: u32,
-    /// The fragment.
-    pub fragment: FragmentKey,
-    /// The target.
-    pub target: TargetKey,
-}
-
-/// A fragment with which no request is sent.
-#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct Ban {
-    /// The fragment.
-    pub fragment: FragmentKey,
-    /// Time until the next trial, in milliseconds.
-    pub left_ms: u32,
-    /// Trials so far.
-    pub trials: u32,
-}
-
-/// What an instance tells others about fragments.
-#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
-pub struct Report {
-    /// Time in milliseconds since the sender's last answer on fragments that are known to be near crashes.
-    pub answers: Vec<(FragmentKey, u32)>,
-    /// Fragments that the sender bans.
-    pub bans: Vec<Ban>,
-    /// Crashes that the sender saw.
-    pub crashes: Vec<Crash>,
-}
-
-impl Report {
-    /// Whether it carries nothing that the earlier report `before` lacks, apart from ages.
-    pub fn repeats(&self, before: &Report) -> bool {
-        let crashes = |report: &Report| -> Vec<(FragmentKey, TargetKey)> {
-            let crashes = report.crashes.iter();
-            crashes
-                .map(|crash| (crash.fragment, crash.target))
-                .collect()
-        };
-        let bans = |report: &Report| -> Vec<(FragmentKey, u32)> {
-            let bans = report.bans.iter();
-            bans.map(|ban| (ban.fragment, ban.trials)).collect()
-        };
-        crashes(self) == crashes(before)
-            && bans(self) == bans(before)
-            && self.answers.len() == before.answers.len()
-    }
-}
-
 /// Finds fragments of prompts at which targets crash, and bans them.
 ///
 /// At a crash, all fragments of the requests that the target had not begun to answer are suspects. A fragment that
@@ -108,33 +46,6 @@
     fragments: Vec<Fragment>,
 }
 
-#[derive(Clone, Debug)]
-struct Fragment {
-    /// Last answer at any instance.
-    answered: Option<Duration>,
-    ban: Option<Term>,
-    /// Time of the last answer that cleared the fragment.
-    cleared: Option<Duration>,
-    /// In order of time.
-    crashes: Vec<Observation>,
-    key: FragmentKey,
-}
-
-#[derive(Clone, Copy, Debug)]
-struct Observation {
-    at: Duration,
-    /// Whether this instance saw it.
-    own: bool,
-    target: TargetKey,
-}
-
-#[derive(Clone, Copy, Debug)]
-struct Term {
-    since: Duration,
-    trials: u32,
-    until: Duration,
-}
-
 impl Quarantine {
     /// Records that a target ended which had not begun to answer a request with these fragments. Returns the fragments
     /// that are banned from now on.
@@ -213,11 +124,8 @@
                     .answers
                     .push((fragment.key, age_ms(self.answers[at].1)));
             }
-            report.bans.extend(fragment.ban.map(|ban| Ban {
-                fragment: fragment.key,
-                left_ms: ban.until.saturating_sub(now).as_millis() as u32,
-                trials: ban.trials,
-            }));
+            let ban = fragment.ban.map(|ban| ban.report(fragment.key, now));
+            report.bans.extend(ban);
         }
         report.crashes.sort_by_key(|crash| crash.age_ms);
         report.answers.truncate(MAX_REPORTED);
@@ -249,8 +157,7 @@
         for key in fragments {
             if let Ok(at) = self.find(*key) {
                 if let Some(ban) = &mut self.fragments[at].ban {
-                    ban.trials += 1;
-                    ban.until = now + ban_time(ban.trials);
+                    ban.begin_trial(now);
                 }
             }
         }
@@ -274,12 +181,7 @@
 
     /// Bans a fragment that was banned before a restart; false if it is banned already.
     pub fn restore(&mut self, key: FragmentKey, now: Duration) -> bool {
-        let left_ms = ban_time(0).as_millis() as u32;
-        let ban = Ban {
-            fragment: key,
-            left_ms,
-            trials: 0,
-        };
+        let ban = Term::new(now).report(key, now);
         self.adopt(&ban, now)
     }
 
@@ -333,50 +235,30 @@
 
     /// Adds a crash; false if it is known already, or if the fragment was answered since.
     fn add_crash(&mut self, key: FragmentKey, target: TargetKey, at: Duration, own: bool) -> bool {
-        let fragment = self.fragment(key);
-        if fragment.answered.is_some_and(|answered| at <= answered) {
-            fragment.cleared = fragment.answered;
-            return false;
-        }
-        let same = fragment
-            .crashes
-            .iter_mut()
-            .find(|seen| seen.is_same(target, at));
-        match same {
-            Some(seen) => {
-                seen.own |= own;
-                false
-            }
-            None => {
-                let place = fragment.crashes.partition_point(|seen| seen.at <= at);
-                fragment
-                    .crashes
-                    .insert(place, Observation { at, own, target });
-                let excess = fragment.crashes.len().saturating_sub(MAX_CRASHES);
-                fragment.crashes.drain(..excess);
-                true
-            }
-        }
+        self.fragment(key).add(Observation { at, own, target })
     }
 
     /// Adopts a ban of another instance; false if it is known already, or if the fragment was answered since.
     fn adopt(&mut self, ban: &Ban, now: Duration) -> bool {
-        let left = Duration::from_millis(u64::from(ban.left_ms)).min(MAX_BAN);
-        let full = ban_time(ban.trials);
-        let since = (now + left).saturating_sub(full);
+        let received = Term::received(ban, now);
         let fragment = self.fragment(ban.fragment);
-        if fragment.answered.is_some_and(|answered| since <= answered) {
+        if fragment
+            .answered
+            .is_some_and(|answered| received.since <= answered)
+        {
             return false;
         }
-        let known = fragment.ban;
-        if known.is_none_or(|known| known.trials < ban.trials) {
-            fragment.ban = Some(Term {
-                since: known.map_or(since, |known| known.since),
-                trials: ban.trials,
-                until: now + left,
-            });
+        let Some(known) = &mut fragment.ban else {
+            fragment.ban = Some(received);
+            return true;
+        };
+        if known.trials < received.trials {
+            *known = Term {
+                since: known.since,
+                ..received
+            };
         }
-        known.is_none()
+        false
     }
 
     /// Bans fragments that explain crashes best, until no fragment without a ban is near too many unexplained crashes.
@@ -395,11 +277,7 @@
             let Some((at, ..)) = suspect else {
                 break;
             };
-            self.fragments[at].ban = Some(Term {
-                since: now,
-                trials: 0,
-                until: now + ban_time(0),
-            });
+            self.fragments[at].ban = Some(Term::new(now));
             banned.push(self.fragments[at].key);
             self.release_explained(at);
         }
@@ -458,33 +336,3 @@
         }
     }
 }
-
-impl Fragment {
-    /// Notes an answer: crashes and bans from before it do not count against the fragment.
-    fn clear(&mut self, at: Duration) {
-        self.answered = self.answered.max(Some(at));
-        let before = (self.crashes.len(), self.ban.is_some());
-        self.crashes.retain(|seen| at < seen.at);
-        self.ban = self.ban.filter(|ban| at < ban.since);
-        if before != (self.crashes.len(), self.ban.is_some()) {
-            self.cleared = Some(at);
-        }
-    }
-
-    fn saw(&self, crash: &Observation) -> bool {
-        let mut crashes = self.crashes.iter();
-        crashes.any(|seen| seen.is_same(crash.target, crash.at))
-    }
-}
-
-impl Observation {
-    fn is_same(&self, target: TargetKey, at: Duration) -> bool {
-        self.target == target && self.at.abs_diff(at) < SAME_CRASH
-    }
-}
-
-/// Time from a ban or a trial to the next trial.
-fn ban_time(trials: u32) -> Duration {
-    let factor = BAN_FACTOR.saturating_pow(trials);
-    FIRST_BAN.saturating_mul(factor).min(MAX_BAN)
-}
--- a/tests/entry_quarantine.rs
+++ b/tests/entry_quarantine.rs
@@ -10,7 +10,7 @@
 use jujubehook::entry::{FragmentKey, TargetKey};
 
 /// The fragment that crashes targets.
-const DEADLY: FragmentKey = 1;
+const CRASHING: FragmentKey = 1;
 
 /// A fragment that all crashing requests share with sound ones.
 const POPULAR: FragmentKey = 2;
@@ -73,7 +73,7 @@
     for crash in 0..5 {
         fleet.crash(
             &[
-                (crash, &[POPULAR, DEADLY]),
+                (crash, &[POPULAR, CRASHING]),
                 (crash + 5, &[100 + crash as u64]),
             ],
             now,
@@ -82,11 +82,11 @@
         now += ms(130);
     }
     let fifth = now - ms(130);
-    while fleet.banning(DEADLY) < 13 {
-        fleet.crash(&[(0, &[POPULAR, DEADLY])], now);
+    while fleet.banning(CRASHING) < 13 {
+        fleet.crash(&[(0, &[POPULAR, CRASHING])], now);
         fleet.exchange(now + ms(70));
         now += ms(130);
-        assert!(now < fifth + AGREEMENT, "{} agree", fleet.banning(DEADLY));
+        assert!(now < fifth + AGREEMENT, "{} agree", fleet.banning(CRASHING));
     }
     assert_eq!(fleet.banning(POPULAR), 0);
     assert!((100..105).all(|fragment| fleet.banning(fragment) == 0));
@@ -120,12 +120,12 @@
 #[test]
 fn one_crash_counts_once() {
     let mut fleet = Fleet::new(13);
-    let requests: Vec<(usize, &[FragmentKey])> = (0..13).map(|at| (at, &[DEADLY][..])).collect();
+    let requests: Vec<(usize, &[FragmentKey])> = (0..13).map(|at| (at, &[CRASHING][..])).collect();
     fleet.crash(&requests, ms(1_000));
     for round in 0..20 {
         fleet.exchange(ms(1_000 + round * 400));
     }
-    assert_eq!(fleet.banning(DEADLY), 0);
+    assert_eq!(fleet.banning(CRASHING), 0);
 }
 
 /// The instances that answered on the popular fragment report it only after others have banned it: the ban moves to
@@ -135,12 +135,12 @@
     let mut fleet = Fleet::new(3);
     fleet.answer(2, &[POPULAR], ms(500));
     for crash in 0..3 {
-        fleet.crash(&[(0, &[POPULAR, DEADLY])], ms(1_000 + crash * 300));
+        fleet.crash(&[(0, &[POPULAR, CRASHING])], ms(1_000 + crash * 300));
     }
     for round in 0..4 {
         fleet.exchange(ms(2_000 + round * 100));
     }
-    assert_eq!((fleet.banning(DEADLY), fleet.banning(POPULAR)), (3, 0));
+    assert_eq!((fleet.banning(CRASHING), fleet.banning(POPULAR)), (3, 0));
 }
 
 /// Two fragments crash targets at the same time; both are banned.
@@ -149,15 +149,19 @@
     let mut fleet = Fleet::new(3);
     for crash in 0..8 {
         let now = ms(1_000 + crash * 300);
-        let fragment = if crash % 2 == 0 { DEADLY } else { DEADLY + 10 };
+        let fragment = if crash % 2 == 0 {
+            CRASHING
+        } else {
+            CRASHING + 10
+        };
         fleet.crash(
             &[(crash as usize % 3, &[fragment]), (0, &[50 + crash])],
             now,
         );
         fleet.exchange(now + ms(70));
     }
-    assert_eq!(fleet.banning(DEADLY), 3);
-    assert_eq!(fleet.banning(DEADLY + 10), 3);
+    assert_eq!(fleet.banning(CRASHING), 3);
+    assert_eq!(fleet.banning(CRASHING + 10), 3);
     assert!((50..58).all(|fragment| fleet.banning(fragment) == 0));
 }
 
@@ -165,11 +169,11 @@
 #[test]
 fn restarted_instance_learns() {
     let mut fleet = Fleet::new(3);
-    ban(&mut fleet, DEADLY);
+    ban(&mut fleet, CRASHING);
     fleet.instances[1] = Quarantine::default();
     let now = ms(70_000);
     fleet.exchange(now);
-    assert_eq!(fleet.banning(DEADLY), 3);
+    assert_eq!(fleet.banning(CRASHING), 3);
 }
 
 /// A fragment is released everywhere after a trial was answered, and stays released although others still report the
@@ -177,18 +181,18 @@
 #[test]
 fn answered_trial_releases() {
     let mut fleet = Fleet::new(3);
-    let since = ban(&mut fleet, DEADLY);
+    let since = ban(&mut fleet, CRASHING);
     let due = since + Duration::from_secs(20);
-    assert!(!fleet.instances[0].is_trial_due(&[DEADLY], since));
-    assert!(fleet.instances[0].is_trial_due(&[DEADLY], due));
-    fleet.instances[0].begin_trial(&[DEADLY], due);
+    assert!(!fleet.instances[0].is_trial_due(&[CRASHING], since));
+    assert!(fleet.instances[0].is_trial_due(&[CRASHING], due));
+    fleet.instances[0].begin_trial(&[CRASHING], due);
     fleet.exchange(due + ms(50));
-    assert!(!fleet.instances[1].is_trial_due(&[DEADLY], due + ms(60)));
-    fleet.answer(0, &[DEADLY], due + ms(100));
+    assert!(!fleet.instances[1].is_trial_due(&[CRASHING], due + ms(60)));
+    fleet.answer(0, &[CRASHING], due + ms(100));
     for round in 0..40 {
         fleet.exchange(due + ms(150 + round * 400));
     }
-    assert_eq!(fleet.banning(DEADLY), 0);
+    assert_eq!(fleet.banning(CRASHING), 0);
 }
 
 /// A fragment that goes on crashing costs one target for each trial. Of the three requests that may reach targets after
@@ -197,14 +201,14 @@
 fn trials_get_rarer() {
     let mut own = Quarantine::default();
     for crash in 0..3 {
-        own.record_crash(&[DEADLY], crash, ms(1_000 + u64::from(crash) * 300));
+        own.record_crash(&[CRASHING], crash, ms(1_000 + u64::from(crash) * 300));
     }
     let mut trials = Vec::new();
     for second in 1..3_600 {
         let now = Duration::from_secs(second);
-        if own.is_trial_due(&[DEADLY], now) {
-            own.begin_trial(&[DEADLY], now);
-            own.record_crash(&[DEADLY], 1_000 + second as u32, now);
+        if own.is_trial_due(&[CRASHING], now) {
+            own.begin_trial(&[CRASHING], now);
+            own.record_crash(&[CRASHING], 1_000 + second as u32, now);
             trials.push(second);
         }
         own.expire(now);
