entry: Say what two private functions do

Cause: `is_leaving_as` and `report_banned` did not say that one compares two records of a process and the other writes log lines. Change: `supersedes` and `log_bans`.

--- a/src/entry/directory.rs
+++ b/src/entry/directory.rs
@@ -37,8 +37,8 @@
         key(&self.id)
     }
 
-    /// Whether this target is draining and `other` describes the same process before that.
-    fn is_leaving_as(&self, other: &Target) -> bool {
+    /// Whether this target is draining and `other` describes the same process before it began to drain.
+    fn supersedes(&self, other: &Target) -> bool {
         let is_same =
             self.started_unix_ms.is_some() && self.started_unix_ms == other.started_unix_ms;
         is_same && self.draining && !other.draining
@@ -67,7 +67,7 @@
         match (found, target) {
             (Ok(at), Some(target)) => {
                 // Draining ends with the process, so a record without it is older than the known one.
-                if !self.targets[at].target.is_leaving_as(&target) {
+                if !self.targets[at].target.supersedes(&target) {
                     self.targets[at] = Entry::new(target);
                 }
             }
--- a/src/entry/instance.rs
+++ b/src/entry/instance.rs
@@ -279,7 +279,7 @@
     }
 
     /// Logs fragments that are banned from now on, and the targets that ended near them.
-    pub(super) fn report_banned(&self, fragments: &[FragmentKey]) {
+    pub(super) fn log_bans(&self, fragments: &[FragmentKey]) {
         for fragment in fragments {
             let targets = self.quarantine.borrow().crash_targets(*fragment);
             let targets: Vec<String> = targets.into_iter().map(|key| format!("{key:x}")).collect();
@@ -315,7 +315,7 @@
         let now = self.clock.now();
         let is_new = record.value.is_some() && self.quarantine.borrow_mut().restore(fragment, now);
         if is_new {
-            self.report_banned(&[fragment]);
+            self.log_bans(&[fragment]);
         }
     }
 
--- a/src/entry/peer.rs
+++ b/src/entry/peer.rs
@@ -208,7 +208,7 @@
         .quarantine
         .borrow_mut()
         .receive(&heartbeat.fragments, now);
-    instance.report_banned(&banned);
+    instance.log_bans(&banned);
     if heartbeat.domain != instance.settings.borrow().domain {
         // A target that another domain cannot reach may still be healthy and reachable from here.
         return;
--- a/src/entry/serve/target_end.rs
+++ b/src/entry/serve/target_end.rs
@@ -50,7 +50,7 @@
             .quarantine
             .borrow_mut()
             .record_crash(fragments, target.key(), now);
-        self.report_banned(&banned);
+        self.log_bans(&banned);
         self.request_heartbeat();
     }
 }
