--- a/http/src/client.rs
+++ b/http/src/client.rs
@@ -1,10 +1,8 @@
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
-use std::time::Duration;
 
 use http_types::{Body, Method, Request, Response, Url};
 use smol::net::TcpStream;
-use socket2::SockRef;
 
 use crate::meter::Meter;
 use crate::socket::Socket;
@@ -186,8 +184,6 @@
         .await
         .map_err(|error| Error::Connect(address.to_string(), error))?;
     let _ = stream.set_nodelay(true);
-    // A close discards what was not delivered: bytes of an abandoned request must not arrive after a network fault.
-    let _ = SockRef::from(&stream).set_linger(Some(Duration::ZERO));
     Ok(stream)
 }
 
