--- a/tests/entry_quarantine.rs
+++ b/tests/entry_quarantine.rs
@@ -15,7 +15,7 @@
 /// A fragment that all crashing requests share with sound ones.
 const POPULAR: FragmentKey = 2;
 
-/// Maximum time until all instances ban a fragment after its fifth crash: `stableWindowMs` of the deployments.
+/// Maximum time until all instances ban a fragment after its fifth crash: the time in which deployments have to settle.
 const AGREEMENT: Duration = Duration::from_secs(3);
 
 /// Instances that exchange reports.
@@ -94,7 +94,7 @@
 
 /// A fragment of many requests is near crashes that other requests cause, but it is answered in between.
 #[test]
-fn answered_fragment_is_not_held() {
+fn answered_fragment_is_not_banned() {
     let mut fleet = Fleet::new(3);
     for round in 0..50 {
         let now = ms(1_000 + round * 400);
@@ -107,7 +107,7 @@
 
 /// A fault that ends many targets at once says nothing about the fragments of their requests.
 #[test]
-fn common_fault_accuses_nothing() {
+fn common_fault_bans_nothing() {
     let mut fleet = Fleet::new(3);
     for crash in 0..12 {
         fleet.crash(&[(crash % 3, &[POPULAR])], ms(1_000 + crash as u64 * 15));
@@ -131,7 +131,7 @@
 /// The instances that answered on the popular fragment report it only after others have banned it: the ban moves to
 /// the fragment that was never answered, everywhere.
 #[test]
-fn late_answers_correct_the_hold() {
+fn late_answers_correct_the_ban() {
     let mut fleet = Fleet::new(3);
     fleet.answer(2, &[POPULAR], ms(500));
     for crash in 0..3 {
