entry: Believe a refusal only if it proves that the request was not run

Callers saw: "not run, try again" (429, 503) for requests that a target had run, and requests that may run once ran at several targets. Cause: an answer counted as "not run" if it said so, whichever request it answered: one without an id was accepted, and the copy of an earlier refusal of the same request looked like the refusal of its next send to the same target. 503, 429 and 408 of a target that did not state "not run" were passed on to the caller, for whom they are a promise. Ruled out: a new connection for the next send, which was already so, since a refusal's connection is not kept; a copy on it looks the same. Reading on behind a refusal, since the answer may come any time later. Change: `entry::proof` decides in one place what an answer proves. It must name the request, and only the request. 400, 421, 429 and 503 that state it, and 421, prove "not run"; all else that promises it is answered with 502. A request that may run once is sent to each target at most once, and refused at once when all have refused it.

--- a/model/src/lib.rs
+++ b/model/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod gang;
 pub mod ownership;
 pub mod record;
+pub mod refusal;
 mod search;
 
 pub use case::Case;
@@ -18,10 +19,12 @@
 pub use search::Outcome;
 pub use search::Spec;
 
-/// Specifications and mutants of the ownership, controller and exchange protocols, in the order of the printed results.
+/// Specifications and mutants of the ownership, controller, exchange and refusal protocols, in the order of the printed
+/// results.
 pub fn cases() -> Vec<Case> {
     let mut cases = ownership::cases();
     cases.extend(controller::cases());
     cases.extend(exchange::cases());
+    cases.extend(refusal::cases());
     cases
 }
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -27,6 +27,7 @@
 mod place;
 pub mod platform;
 mod probe;
+pub mod proof;
 pub mod quarantine;
 mod reachability;
 mod relay;
--- a/src/entry/platform.rs
+++ b/src/entry/platform.rs
@@ -85,8 +85,8 @@
     pub headers: HeaderMap,
     /// Whether the target states that it did not run the request.
     pub not_run: bool,
-    /// Id of the request that this answers, if given.
-    pub request: Option<String>,
+    /// Ids of the requests that the answer names; more than one is contradictory.
+    pub requests: Vec<String>,
     /// Whether the answer carries a signature of the target.
     pub signed: bool,
     /// Status.
--- a/src/entry/serve/find.rs
+++ b/src/entry/serve/find.rs
@@ -6,7 +6,8 @@
 use super::{
     Exchange, InFlight, RouteKind, PLACEMENT_INTERVAL, RETRY_AFTER, RETRY_AFTER_UNAVAILABLE,
 };
-use crate::entry::{pick, place, Choice, Engine, Placement, Requirements, Work};
+use crate::entry::proof::Guards;
+use crate::entry::{pick, place, Choice, Engine, Placement, Requirements, TargetKey, Work};
 use crate::error::Kind;
 use crate::event;
 
@@ -127,11 +128,22 @@
         None
     }
 
+    /// Targets that must not get the request again.
+    fn excluded(&self) -> &[TargetKey] {
+        match Guards::default().allow_resend(self.route.kind.is_repeatable()) {
+            true => &[],
+            false => &self.refused,
+        }
+    }
+
     fn choose(&self) -> Choice {
         let instance = &self.instance;
         let mut engines = instance.engines(&self.service, &self.tried, false);
         if engines.is_empty() {
-            engines = instance.engines(&self.service, &[], true);
+            engines = instance.engines(&self.service, self.excluded(), true);
+        }
+        if engines.is_empty() && !self.excluded().is_empty() {
+            return Choice::Refuse;
         }
         let now = instance.clock.now();
         let seed = fastrand::u64(..);
--- a/src/entry/serve/mod.rs
+++ b/src/entry/serve/mod.rs
@@ -53,6 +53,8 @@
     /// Fragments of the prompt that other requests may have too.
     fragments: Vec<FragmentKey>,
     priority: u8,
+    /// Targets that refused the request.
+    refused: Vec<TargetKey>,
     pub(super) request: Rc<Request>,
     pub(super) route: Rc<Route>,
     /// Whether the caller already has events.
@@ -190,6 +192,7 @@
             priority: workspace
                 .and_then(|workspace| workspace.priority)
                 .unwrap_or(route.priority),
+            refused: Vec::new(),
             request: request.clone(),
             route: route.clone(),
             resumes: false,
@@ -257,7 +260,8 @@
                         continue;
                     }
                 }
-                Outcome::Failed(_) | Outcome::NotRun(_) => {}
+                Outcome::NotRun(_) => self.refused.push(key),
+                Outcome::Failed(_) => {}
             }
             if !self.take_retry() {
                 let mut given_up = self.retries_exhausted();
--- a/src/entry/serve/send.rs
+++ b/src/entry/serve/send.rs
@@ -3,12 +3,12 @@
 
 use bytes::Bytes;
 use futures_lite::future::or;
-use http::StatusCode;
 use smol::Timer;
 
 use super::outcome::{Buffered, Opened, Outcome};
 use super::{Exchange, InFlight, RouteKind, SILENCE_SHARE};
 use crate::entry::platform::{Call, Failure, Reply};
+use crate::entry::proof::{Evidence, Guards, Verdict};
 use crate::entry::reservation::Reservation;
 use crate::entry::{Events, Helper, Placement, Target};
 use crate::event;
@@ -107,19 +107,15 @@
         target: &Rc<Target>,
         last_event_id: Option<u64>,
     ) -> Outcome {
-        if reply
-            .request
-            .as_ref()
-            .is_some_and(|id| *id != self.request.id)
-        {
-            return Outcome::Failed(Failure::Broken);
-        }
-        if reply.not_run || reply.status == StatusCode::MISDIRECTED_REQUEST {
-            return Outcome::NotRun(reply.fault);
-        }
-        // An unsigned success does not come from the target.
-        if reply.status.is_success() && !reply.signed {
-            return Outcome::Failed(Failure::Broken);
+        match Evidence::new(&reply, &self.request.id).verdict(Guards::default()) {
+            Verdict::Answer => {}
+            Verdict::Foreign => return Outcome::Failed(Failure::Broken),
+            Verdict::NotRun => return Outcome::NotRun(reply.fault),
+            // The status would tell the caller that the request was not run.
+            Verdict::Unproven if !self.route.kind.is_repeatable() => {
+                return Outcome::Failed(Failure::Broken)
+            }
+            Verdict::Unproven => {}
         }
         let is_stream = matches!(self.route.kind, RouteKind::Stream { .. });
         if !is_stream || !reply.status.is_success() {
