platform, entry: Bound times and counts from outside

Callers saw: connections that end without an answer, one instance after the other, once a target writes a large number. Cause: times and counts of targets, records, callers and instances went into plain arithmetic, which ends the process when it overflows (times in every build, counts in builds with checks; in others they wrap, so that a prompt of 2^32 tokens counted as none).

--- a/src/entry/fold.rs
+++ b/src/entry/fold.rs
@@ -62,7 +62,7 @@
 
     /// Applies a record; returns it if it is newer than the known record of its key.
     pub fn apply(&mut self, record: Record) -> Option<&Record> {
-        self.end = self.end.max(record.offset + 1);
+        self.end = self.end.max(record.offset.saturating_add(1));
         self.insert(record)
     }
 
--- a/src/entry/pick.rs
+++ b/src/entry/pick.rs
@@ -13,7 +13,7 @@
         .min_by_key(|(at, candidate)| {
             let slots = candidate.target.slots.max(1);
             // Small differences in load do not matter while slots are free; a full target queues requests.
-            let fill = 4 * candidate.load.running / slots;
+            let fill = candidate.load.running.saturating_mul(4) / slots;
             let spread = seed.rotate_left(*at as u32 % 64) & 0xFFFF;
             (fill, !candidate.local, candidate.load.running, spread)
         })
--- a/src/entry/place/memory.rs
+++ b/src/entry/place/memory.rs
@@ -27,9 +27,10 @@
             if remaining == 0 {
                 break;
             }
-            let share = remaining.next_multiple_of(BLOCK).min(free / BLOCK * BLOCK);
+            let blocks = remaining.checked_next_multiple_of(BLOCK);
+            let share = blocks.unwrap_or(u32::MAX).min(free / BLOCK * BLOCK);
             reserved[at] = share;
-            total += share;
+            total = total.saturating_add(share);
             remaining = remaining.saturating_sub(share);
         }
         if remaining > 0 {
--- a/src/entry/place/mod.rs
+++ b/src/entry/place/mod.rs
@@ -125,9 +125,11 @@
 
 /// Number of engines for requests with short prompts. One engine in eight stays for long prompts.
 fn short_engines(order: &[&Engine], profile: &Profile) -> usize {
-    let short: u32 = order.iter().map(|engine| engine.load.short).sum();
+    let short = order
+        .iter()
+        .fold(0u32, |sum, engine| sum.saturating_add(engine.load.short));
     let each = (f64::from(profile.slots) * TARGET_FILL).max(1.0);
-    let needed = (f64::from(short + UNSEEN_REQUESTS) / each).ceil() as usize + 1;
+    let needed = (f64::from(short.saturating_add(UNSEEN_REQUESTS)) / each).ceil() as usize + 1;
     let long_engines = order.len().div_ceil(8);
     needed.min(order.len().saturating_sub(long_engines).max(1))
 }
--- a/src/entry/quarantine/term.rs
+++ b/src/entry/quarantine/term.rs
@@ -42,7 +42,7 @@
 
     /// Counts a trial that begins now.
     pub(super) fn begin_trial(&mut self, now: Duration) {
-        self.trials += 1;
+        self.trials = self.trials.saturating_add(1);
         self.until = now + wait(self.trials);
     }
 
--- a/src/entry/serve/find.rs
+++ b/src/entry/serve/find.rs
@@ -10,6 +10,7 @@
 use crate::entry::{pick, place, Choice, Engine, Placement, Requirements, TargetKey, Work};
 use crate::error::Kind;
 use crate::event;
+use crate::id::Tokens;
 
 /// Time within which a choice of engines becomes known to all instances: several times the latency between two domains.
 const CLAIM_DELAY: Duration = Duration::from_millis(10);
@@ -17,6 +18,11 @@
 /// Divisor of the objective: the maximum time for which a request without a stream waits for a placement.
 const QUEUE_DIVISOR: u32 = 2;
 
+/// Tokens as an engine counts them. A prompt beyond any engine's memory stays one.
+fn saturate(tokens: Tokens) -> u32 {
+    u32::try_from(tokens).unwrap_or(u32::MAX)
+}
+
 impl Exchange {
     /// Finds a placement, waiting for one if necessary. How long depends on the kind of route.
     pub(super) async fn find_placement(&self) -> Result<(Placement, InFlight), GivenUp> {
@@ -63,8 +69,8 @@
                 .min(),
             running = engines
                 .iter()
-                .map(|engine| engine.load.running)
-                .sum::<u32>()
+                .map(|engine| u64::from(engine.load.running))
+                .sum::<u64>()
         );
         let (kind, retry) = if !engines.is_empty() {
             (Kind::Overloaded, RETRY_AFTER)
@@ -166,8 +172,8 @@
             deadline: self.time_left_to_start(now),
             gap: self.route.gap,
             objective: (self.arrival + self.route.objective).saturating_sub(now),
-            prompt: prompt.tokens as u32,
-            tokens: (prompt.tokens + prompt.max_tokens) as u32,
+            prompt: saturate(prompt.tokens),
+            tokens: saturate(prompt.tokens.saturating_add(prompt.max_tokens)),
         };
         place(&requirements, profile, &engines, seed)
     }
--- a/src/entry/view.rs
+++ b/src/entry/view.rs
@@ -104,7 +104,7 @@
                 age_ms: 0,
                 background: work.background,
                 number: self.last_number,
-                part_ms: work.part_time.as_millis() as u32,
+                part_ms: millis(work.part_time),
                 rank: work.rank,
                 finished: false,
                 targets: std::iter::once(work.primary).chain(helpers).collect(),
@@ -223,7 +223,7 @@
             row.running += 1;
             row.short += u32::from(work.short);
             row.tokens = row.tokens.saturating_add(work.tokens);
-            let gap = work.gap.as_millis() as u32;
+            let gap = millis(work.gap);
             if gap > 0 && (row.gap_ms == 0 || gap < row.gap_ms) {
                 row.gap_ms = gap;
             }
@@ -238,7 +238,7 @@
     /// This instance's prompts in prefill or recently prefilled.
     pub fn prefills(&self, now: Duration) -> Vec<Prefill> {
         let aged = |own: &OwnPrefill| Prefill {
-            age_ms: now.saturating_sub(own.start).as_millis() as u32,
+            age_ms: millis(now.saturating_sub(own.start)),
             ..own.prefill.clone()
         };
         self.prefills.iter().map(aged).collect()
@@ -291,6 +291,11 @@
     }
 }
 
+/// Milliseconds as in a heartbeat; times beyond 49 days count as that long.
+fn millis(time: Duration) -> u32 {
+    u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
+}
+
 fn row(rows: &mut Vec<Row>, target: TargetKey) -> &mut Row {
     let found = rows.binary_search_by_key(&target, |row| row.target);
     let at = found.unwrap_or_else(|at| {
@@ -315,8 +320,8 @@
 
 fn add_row(loads: &mut Vec<(TargetKey, Load)>, row: &Row) {
     let load = load(loads, row.target);
-    load.short += row.short;
-    load.running += row.running;
+    load.short = load.short.saturating_add(row.short);
+    load.running = load.running.saturating_add(row.running);
     load.tokens = load.tokens.saturating_add(row.tokens);
     if row.gap_ms > 0 {
         let gap = Duration::from_millis(u64::from(row.gap_ms));
--- a/tests/entry_fold.rs
+++ b/tests/entry_fold.rs
@@ -200,3 +200,16 @@
         }
     }
 }
+
+/// A record at the largest offset does not end the process.
+#[test]
+fn largest_offset() {
+    let mut fold = Fold::default();
+    let record = Record {
+        key: "a".into(),
+        offset: u64::MAX,
+        value: Some(vec![1]),
+    };
+    assert!(fold.apply(record).is_some());
+    assert_eq!(fold.end(), u64::MAX);
+}
--- a/tests/entry_view.rs
+++ b/tests/entry_view.rs
@@ -3,7 +3,7 @@
 mod entry_fixtures;
 
 use entry_fixtures::ms;
-use jujubehook::entry::{Heartbeat, Load, Row, View, Work};
+use jujubehook::entry::{Heartbeat, Load, Prefill, Row, View, Work};
 
 fn work(primary: u32) -> Work {
     Work {
@@ -123,3 +123,35 @@
     assert!(view.prefills(ms(1)).is_empty());
     assert_eq!(load(&view, 9, 1), Load::default());
 }
+
+/// Counts of another instance at the limit of their type do not end this one.
+#[test]
+fn largest_counts() {
+    let mut view = View::default();
+    for instance in ["a", "b"] {
+        let heartbeat = Heartbeat {
+            ends: [u64::MAX; 3],
+            instance: instance.into(),
+            prefills: vec![Prefill {
+                age_ms: u32::MAX,
+                number: u64::MAX,
+                part_ms: u32::MAX,
+                targets: vec![1],
+                ..Prefill::default()
+            }],
+            rows: vec![Row {
+                gap_ms: u32::MAX,
+                running: u32::MAX,
+                short: u32::MAX,
+                target: 1,
+                tokens: u32::MAX,
+            }],
+            sequence: u64::MAX,
+            ..Heartbeat::default()
+        };
+        assert!(view.receive(&heartbeat, ms(1)));
+    }
+    let loads = view.loads(ms(2));
+    assert_eq!(loads[0].1.running, u32::MAX);
+    assert_eq!(loads[0].1.short, u32::MAX);
+}
