entry, platform: Let a panic end one task instead of the process

Callers saw: any fault in one request's code ended the process, and with it the requests of all other callers there. Cause: a panic in a task passes through the executor that runs all of them. Ruled out: to run the tasks that follow the log or other instances this way too: an instance that goes on without one of them serves old state without a sign; it still ends and starts again. The parts of `entry_memory` that run the core without a socket moved to `tests/entry_core`.

--- a/src/entry/metric.rs
+++ b/src/entry/metric.rs
@@ -22,6 +22,8 @@
     pub heartbeats: IntCounter,
     /// Calls to the log by topic and outcome.
     pub log_calls: IntCounterVec,
+    /// Tasks that ended by a panic, by what they did.
+    pub panics: IntCounterVec,
     registry: Registry,
     /// Requests by kind of route and outcome.
     pub requests: IntCounterVec,
@@ -60,6 +62,12 @@
                 &["kind"],
                 &BUCKETS,
             )?,
+            panics: counters(
+                r,
+                "entry_panics_total",
+                "Tasks that ended by a panic.",
+                &["task"],
+            )?,
             requests: counters(
                 r,
                 "entry_requests_total",
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -16,6 +16,7 @@
 mod fold;
 mod follow;
 mod fragment_record;
+mod guard;
 mod health;
 mod heartbeat;
 mod instance;
--- a/src/entry/peer.rs
+++ b/src/entry/peer.rs
@@ -302,7 +302,7 @@
     loop {
         match listener.accept().await {
             Ok((stream, from)) => {
-                let executor = instance.executor.clone();
+                let spawner = instance.clone();
                 let instance = instance.clone();
                 let task = async move {
                     if let Err(error) = answer_fetch(&instance, stream).await {
@@ -315,7 +315,7 @@
                         );
                     }
                 };
-                executor.spawn(task).detach();
+                spawner.spawn("transfer", task);
             }
             Err(error) => {
                 event!(
--- a/src/entry/probe.rs
+++ b/src/entry/probe.rs
@@ -15,11 +15,9 @@
     loop {
         Timer::after(PROBE_INTERVAL).await;
         for target in unreachable_targets(&instance) {
-            let executor = instance.executor.clone();
+            let spawner = instance.clone();
             let instance = instance.clone();
-            executor
-                .spawn(async move { probe(&instance, &target).await })
-                .detach();
+            spawner.spawn("probe", async move { probe(&instance, &target).await });
         }
     }
 }
--- a/src/entry/reservation.rs
+++ b/src/entry/reservation.rs
@@ -83,7 +83,7 @@
     fn drop(&mut self) {
         let (instance, target) = (self.instance.clone(), self.target.clone());
         let ticket = std::mem::take(&mut self.ticket);
-        let executor = instance.executor.clone();
+        let spawner = instance.clone();
         let unanswered = self.unanswered.clone();
         let release = async move {
             loop {
@@ -100,7 +100,7 @@
                 Timer::after(RELEASE_RETRY).await;
             }
         };
-        executor.spawn(release).detach();
+        spawner.spawn("release", release);
     }
 }
 
--- a/src/entry/serve/target_end.rs
+++ b/src/entry/serve/target_end.rs
@@ -14,13 +14,12 @@
         let instance = self.instance.clone();
         let (request, fragments) = (self.request.clone(), self.fragments.clone());
         let target = target.clone();
-        let executor = instance.executor.clone();
         let check = async move {
             if !instance.targets.probe(target.address).await {
                 instance.record_end(&request, &fragments, &target);
             }
         };
-        executor.spawn(check).detach();
+        self.instance.spawn("target_end", check);
     }
 }
 
--- a/tests/entry_memory.rs
+++ b/tests/entry_memory.rs
@@ -1,5 +1,6 @@
 //! Guards against memory that stays reserved at an engine after its request. Runs the whole core without a socket.
 
+mod entry_core;
 mod entry_fixtures;
 
 use std::cell::RefCell;
@@ -7,15 +8,9 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use entry_fixtures::{ms, profile, target};
-use jujubehook::entry::platform::{
-    Batch, Call, Decoder, Directive, Failure, LocalBoxFuture, Log, LogError, Reply, Targets, Topic,
-};
-use jujubehook::entry::{
-    Answer, Config, Instance, Limits, Prompt, Record, Request, Route, RouteKind, Service, Settings,
-    Target,
-};
-use smol::{LocalExecutor, Timer};
+use jujubehook::entry::platform::{Call, Failure, LocalBoxFuture, Reply, Targets};
+use jujubehook::entry::{Answer, Prompt, Request, Target};
+use smol::Timer;
 
 const ENGINES: u64 = 20;
 
@@ -90,77 +85,13 @@
     }
 }
 
-/// A log that refuses all calls; the test applies records directly.
-struct RefusingLog;
-
-impl Log for RefusingLog {
-    fn newest(&self, _: Topic) -> LocalBoxFuture<'_, Result<Batch, LogError>> {
-        Box::pin(async { Err(LogError::Refused(503)) })
-    }
-
-    fn put(&self, _: &str, _: &[u8]) -> LocalBoxFuture<'_, Result<(), LogError>> {
-        Box::pin(async { Err(LogError::Refused(503)) })
-    }
-
-    fn read(&self, _: Topic, _: u64, _: Duration) -> LocalBoxFuture<'_, Result<Batch, LogError>> {
-        Box::pin(async { Err(LogError::Refused(503)) })
-    }
-}
-
-/// Decodes any record of the operators' topic as the same configuration, and the key of any other record as the id of a
-/// target.
-struct FixedDecoder;
-
-impl Decoder for FixedDecoder {
-    fn directive(&self, _: &Record) -> Result<Option<Directive>, String> {
-        let route = Route {
-            allow_anonymous: true,
-            gap: ms(1_000),
-            host: "h".into(),
-            kind: RouteKind::Stream { resumable: true },
-            objective: ms(3_000),
-            shares: vec![("llm".into(), 1)],
-            ..Route::default()
-        };
-        let service = Service {
-            profile: Some(profile()),
-            name: "llm".into(),
-            ..Service::default()
-        };
-        let config = Config::new(1, Limits::default(), vec![route], vec![service], Vec::new());
-        Ok(Some(Directive::Config(Box::new(config), Vec::new())))
-    }
-
-    fn target(&self, record: &Record, _: Duration) -> Result<Target, String> {
-        Ok(target(&record.key, "local"))
-    }
-}
-
-fn record(key: String, offset: u64) -> Record {
-    Record {
-        key,
-        offset,
-        value: Some(Vec::new()),
-    }
-}
-
 /// Reservation calls are lost and carried out late, after the request has ended and its releases were answered. The
 /// memory is released again. Found by the fault scenario `trouble-2` of the second site, seed 11.
 #[test]
 fn late_reservations_are_released() {
     let engines = Rc::new(Engines::default());
-    let executor = Rc::new(LocalExecutor::new());
-    let instance = Instance::new(
-        Settings::default(),
-        executor.clone(),
-        Box::new(FixedDecoder),
-        Rc::new(RefusingLog),
-        engines.clone(),
-    )
-    .expect("an instance");
-    instance.apply(Topic::Operator, vec![record("config".into(), 0)], 1, true);
-    let targets = (0..ENGINES).map(|number| record(format!("i-{number}"), number));
-    instance.apply(Topic::Targets, targets.collect(), ENGINES, true);
+    let ids = (0..ENGINES).map(|number| format!("i-{number}"));
+    let (instance, executor) = entry_core::start(ids, engines.clone());
     smol::block_on(executor.run(async {
         let request = Request {
             host: "h".into(),
--- a/tests/entry_metrics.rs
+++ b/tests/entry_metrics.rs
@@ -14,6 +14,7 @@
         .with_label_values(&["stream"])
         .observe(0.1);
     metrics.requests.with_label_values(&["stream", "ok"]).inc();
+    metrics.panics.with_label_values(&["probe"]).inc();
     metrics.sends.with_label_values(&["opened"]).inc();
     metrics
         .log_calls
