entry: Stop sending to targets that say in an answer that they leave

Callers saw: requests at a target long after it had said that it leaves; they end with it. Cause: only a target's record said that it leaves. What it says in its answers was not read. Ruled out: to write it into the target's record as known here: the record is written again as ready, lapses with the log and returns. Change: any answer that can be tied to its request (whole, head of a stream, error, refusal, call about memory) may carry it, but not a misdirected one, which another replica wrote at a reused address. The directory joins it with the record by the start of the process: the target stays out although its record is ready, lapses or returns, and the next process under its id gets work.

--- a/src/entry/directory.rs
+++ b/src/entry/directory.rs
@@ -10,6 +10,12 @@
 /// The value is below two seconds by the time that a record takes to arrive.
 const LAPSE_GRACE: Duration = Duration::from_millis(1_200);
 
+/// Time for which a target that leaves is remembered after it said so. Its process exits within seconds.
+const LEAVING_RETENTION: Duration = Duration::from_secs(600);
+
+/// Time for which other instances are told about a target that leaves; several heartbeats may be lost meanwhile.
+const REPORT_TIME: Duration = Duration::from_secs(10);
+
 /// A target as described by its record.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Target {
@@ -49,6 +55,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Directory {
     evacuated: Vec<DomainId>,
+    /// Processes that said that they leave, sorted by id. Records may say otherwise, or be gone for a while.
+    leaving: Vec<Leaving>,
     targets: Vec<Entry>,
 }
 
@@ -58,7 +66,75 @@
     target: Rc<Target>,
 }
 
+/// A process that said in an answer that it leaves.
+#[derive(Clone, Debug)]
+struct Leaving {
+    id: TargetId,
+    /// Whether it said so to this instance; only this is reported to others.
+    own: bool,
+    since: Duration,
+    started_unix_ms: Option<u64>,
+}
+
 impl Directory {
+    /// Records that the process of a target said to this instance that it leaves; false if that is known, or if the
+    /// target has another process now.
+    pub fn leave(&mut self, id: &str, started_unix_ms: Option<u64>, now: Duration) -> bool {
+        self.add_leaving(id, started_unix_ms, true, now)
+    }
+
+    /// Applies what another instance reported of a target that leaves; as [`leave`](Directory::leave).
+    pub fn receive(
+        &mut self,
+        target: TargetKey,
+        started_unix_ms: Option<u64>,
+        now: Duration,
+    ) -> bool {
+        let known = self.targets().find(|known| known.key() == target);
+        let Some(id) = known.map(|known| known.id.clone()) else {
+            return false;
+        };
+        self.add_leaving(&id, started_unix_ms, false, now)
+    }
+
+    fn add_leaving(&mut self, id: &str, started: Option<u64>, own: bool, now: Duration) -> bool {
+        let current = self.target(id).map(|target| target.started_unix_ms);
+        if current.is_some_and(|current| current != started) || self.is_leaving(id, started) {
+            return false;
+        }
+        let leaving = Leaving {
+            id: id.to_owned(),
+            own,
+            since: now,
+            started_unix_ms: started,
+        };
+        match self.find_leaving(id) {
+            Ok(at) => self.leaving[at] = leaving,
+            Err(at) => self.leaving.insert(at, leaving),
+        }
+        true
+    }
+
+    fn find_leaving(&self, id: &str) -> Result<usize, usize> {
+        self.leaving
+            .binary_search_by(|leaving| leaving.id.as_str().cmp(id))
+    }
+
+    /// Whether the process of a target that started at this time said that it leaves.
+    pub fn is_leaving(&self, id: &str, started_unix_ms: Option<u64>) -> bool {
+        let found = self.find_leaving(id);
+        found.is_ok_and(|at| self.leaving[at].started_unix_ms == started_unix_ms)
+    }
+
+    /// Targets that said to this instance recently that they leave, and the starts of their processes.
+    pub fn reports(&self, now: Duration) -> Vec<(TargetKey, Option<u64>)> {
+        self.leaving
+            .iter()
+            .filter(|leaving| leaving.own && now < leaving.since.saturating_add(REPORT_TIME))
+            .map(|leaving| (key(&leaving.id), leaving.started_unix_ms))
+            .collect()
+    }
+
     /// Applies the newest record of a target, or its removal.
     pub fn apply(&mut self, id: &str, target: Option<Target>, now: Duration) {
         let found = self
@@ -73,8 +149,9 @@
             }
             (Err(at), Some(target)) => self.targets.insert(at, Entry::new(target)),
             (Ok(at), None) => {
+                let target = &self.targets[at].target;
                 // A draining target left on purpose; its record did not lapse.
-                if self.targets[at].target.draining {
+                if target.draining || self.is_leaving(id, target.started_unix_ms) {
                     self.targets.remove(at);
                 } else {
                     self.targets[at].lapsed.get_or_insert(now);
@@ -103,6 +180,8 @@
     pub fn expire(&mut self, now: Duration) {
         self.targets
             .retain(|entry| entry.lapsed.is_none_or(|since| now < since + LAPSE_GRACE));
+        self.leaving
+            .retain(|leaving| now < leaving.since.saturating_add(LEAVING_RETENTION));
     }
 
     /// The target with this id, even if it drains or its record lapsed.
@@ -118,13 +197,14 @@
         self.targets.iter().map(|entry| &entry.target)
     }
 
-    /// The targets of a service that may get work: those that are not draining and outside evacuated domains. Targets
+    /// The targets of a service that may get work: those that neither drain nor leave, outside evacuated domains. Targets
     /// with lapsed records are returned only if there is no other.
     pub fn usable(&self, service: &str, now: Duration) -> Vec<Rc<Target>> {
         let usable = |entry: &&Entry| {
             let target = &entry.target;
             target.service == service
                 && !target.draining
+                && !self.is_leaving(&target.id, target.started_unix_ms)
                 && self.evacuated.binary_search(&target.domain).is_err()
         };
         let select = |lapsed: bool| -> Vec<Rc<Target>> {
--- a/src/entry/heartbeat.rs
+++ b/src/entry/heartbeat.rs
@@ -66,6 +66,8 @@
     pub suspects: Vec<(TargetKey, u32)>,
     /// Fragments of prompts at which targets crashed.
     pub fragments: Report,
+    /// Targets that said to the sender that they leave, and the starts of their processes in Unix milliseconds.
+    pub leaving: Vec<(TargetKey, Option<u64>)>,
 }
 
 impl Heartbeat {
@@ -81,6 +83,7 @@
         self.rows == before.rows
             && self.ends == before.ends
             && self.fragments.repeats(&before.fragments)
+            && self.leaving == before.leaving
             && self.suspects.len() == before.suspects.len()
             && unfinished(self) == unfinished(before)
     }
--- a/src/entry/instance.rs
+++ b/src/entry/instance.rs
@@ -8,7 +8,7 @@
 
 use super::fragment_record;
 use super::member::Entry;
-use super::platform::{Decoder, Directive, Log, Targets, Topic};
+use super::platform::{Decoder, Directive, Log, Notice, Targets, Topic};
 use super::{
     key, Budgets, ColdLimiter, Config, Directory, Engine, Fold, FragmentKey, Health, Load, Members,
     Metrics, Quarantine, Reachability, Record, Service, Settings, Slowdowns, Target, TargetKey,
@@ -212,6 +212,23 @@
         engines
     }
 
+    /// Applies what a target stated about itself.
+    pub(super) fn apply_notice(&self, target: &Target, notice: Notice) {
+        let now = self.clock.now();
+        if notice.leaving {
+            let started = target.started_unix_ms;
+            if self.directory.borrow_mut().leave(&target.id, started, now) {
+                event!(
+                    self.source,
+                    "target_leaving",
+                    target = target.id.as_str(),
+                    from = "answer"
+                );
+                self.request_heartbeat();
+            }
+        }
+    }
+
     /// Records that a target did not accept a connection in time.
     pub(super) fn mark_unreachable(&self, target: &Target) {
         let now = self.clock.now();
--- a/src/entry/peer.rs
+++ b/src/entry/peer.rs
@@ -154,6 +154,7 @@
             .map(|(target, left)| (target, millis(left)))
             .collect(),
         fragments: instance.quarantine.borrow().report(now),
+        leaving: instance.directory.borrow().reports(now),
     }
 }
 
@@ -209,6 +210,17 @@
         .borrow_mut()
         .receive(&heartbeat.fragments, now);
     instance.log_bans(&banned);
+    for (target, started) in &heartbeat.leaving {
+        let mut directory = instance.directory.borrow_mut();
+        if directory.receive(*target, *started, now) {
+            event!(
+                instance.source,
+                "target_leaving",
+                target = event::hex(u64::from(*target)),
+                from = heartbeat.instance.as_str()
+            );
+        }
+    }
     if heartbeat.domain != instance.settings.borrow().domain {
         // A target that another domain cannot reach may still be healthy and reachable from here.
         return;
--- a/src/entry/platform.rs
+++ b/src/entry/platform.rs
@@ -75,6 +75,22 @@
     pub workspace: Option<WorkspaceId>,
 }
 
+/// What a target states about itself in an answer.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Notice {
+    /// It is about to exit and wants no new work.
+    pub leaving: bool,
+}
+
+/// Answer of a target to a call about memory.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Ordered {
+    /// Whether the target confirmed that it carried out the call.
+    pub done: bool,
+    /// What it states about itself.
+    pub notice: Notice,
+}
+
 /// Head and body of a target's answer.
 pub struct Reply {
     /// Body.
@@ -85,6 +101,8 @@
     pub headers: HeaderMap,
     /// Whether the target states that it did not run the request.
     pub not_run: bool,
+    /// What the target states about itself.
+    pub notice: Notice,
     /// Ids of the requests that the answer names; more than one is contradictory.
     pub requests: Vec<String>,
     /// Whether the answer carries a signature of the target.
@@ -107,10 +125,10 @@
     /// Whether the address accepts a new connection in time.
     fn probe(&self, address: SocketAddr) -> LocalBoxFuture<'_, bool>;
 
-    /// Releases reserved memory; false if the target did not confirm.
-    fn release<'a>(&'a self, target: &'a Target, ticket: &'a str) -> LocalBoxFuture<'a, bool>;
+    /// Releases reserved memory.
+    fn release<'a>(&'a self, target: &'a Target, ticket: &'a str) -> LocalBoxFuture<'a, Ordered>;
 
-    /// Reserves memory for the time `hold`, or extends the reservation to that time from now. False if the memory is
+    /// Reserves memory for the time `hold`, or extends the reservation to that time from now. Not done if the memory is
     /// not free, or if the outcome is not known.
     fn reserve<'a>(
         &'a self,
@@ -118,7 +136,7 @@
         ticket: &'a str,
         tokens: u32,
         hold: Duration,
-    ) -> LocalBoxFuture<'a, bool>;
+    ) -> LocalBoxFuture<'a, Ordered>;
 
     /// Sends a request and waits for the head of the answer. Dropping the future or the body cancels the request.
     fn send(&self, call: Call) -> LocalBoxFuture<'_, Result<Reply, Failure>>;
--- a/src/entry/reservation.rs
+++ b/src/entry/reservation.rs
@@ -42,10 +42,12 @@
         tokens: u32,
     ) -> Option<Reservation> {
         let ticket = instance.next_ticket();
-        let reserved = instance
+        let ordered = instance
             .targets
             .reserve(target, &ticket, tokens, LEASE)
             .await;
+        instance.apply_notice(target, ordered.notice);
+        let reserved = ordered.done;
         let unanswered = Rc::new(Cell::new((!reserved).then(|| instance.clock.now())));
         let renewal = renew(
             instance.clone(),
@@ -87,7 +89,9 @@
         let unanswered = self.unanswered.clone();
         let release = async move {
             loop {
-                let released = instance.targets.release(&target, &ticket).await;
+                let ordered = instance.targets.release(&target, &ticket).await;
+                instance.apply_notice(&target, ordered.notice);
+                let released = ordered.done;
                 let now = instance.clock.now();
                 if !released {
                     unanswered.set(Some(now));
@@ -116,11 +120,12 @@
         Timer::after(pause).await;
         // The call counts as unanswered until its answer arrives, since this task may be dropped before.
         let before = unanswered.replace(Some(instance.clock.now()));
-        if instance
+        let ordered = instance
             .targets
             .reserve(&target, &ticket, tokens, LEASE)
-            .await
-        {
+            .await;
+        instance.apply_notice(&target, ordered.notice);
+        if ordered.done {
             unanswered.set(before);
             pause = RENEW_INTERVAL;
         } else {
--- a/src/entry/serve/send.rs
+++ b/src/entry/serve/send.rs
@@ -107,7 +107,12 @@
         target: &Rc<Target>,
         last_event_id: Option<u64>,
     ) -> Outcome {
-        match Evidence::new(&reply, &self.request.id).verdict(Guards::default()) {
+        let verdict = Evidence::new(&reply, &self.request.id).verdict(Guards::default());
+        if verdict == Verdict::Foreign {
+            return Outcome::Failed(Failure::Broken);
+        }
+        self.instance.apply_notice(target, reply.notice);
+        match verdict {
             Verdict::Answer => {}
             Verdict::Foreign => return Outcome::Failed(Failure::Broken),
             Verdict::NotRun => return Outcome::NotRun(reply.fault),
--- a/src/entry/serve/target_end.rs
+++ b/src/entry/serve/target_end.rs
@@ -30,7 +30,8 @@
         let is_leaving = {
             let directory = self.directory.borrow();
             let known = directory.target(&target.id);
-            known.is_none_or(|known| known.draining)
+            let is_leaving = directory.is_leaving(&target.id, target.started_unix_ms);
+            is_leaving || known.is_none_or(|known| known.draining)
         };
         if is_leaving {
             return;
--- a/tests/entry_directory.rs
+++ b/tests/entry_directory.rs
@@ -3,7 +3,7 @@
 mod entry_fixtures;
 
 use entry_fixtures::{ms, target};
-use jujubehook::entry::Directory;
+use jujubehook::entry::{key, Directory, Target};
 
 fn names(directory: &Directory, now: u64) -> Vec<String> {
     let usable = directory.usable("llm", ms(now));
@@ -77,3 +77,56 @@
     directory.evacuate("north", false);
     assert_eq!(names(&directory, 0), ["a", "b"]);
 }
+
+/// The process of the target `a` that started at this time.
+fn process(started_unix_ms: u64, draining: bool) -> Option<Target> {
+    let mut target = target("a", "north");
+    (target.started_unix_ms, target.draining) = (Some(started_unix_ms), draining);
+    Some(target)
+}
+
+/// A target that says that it leaves gets no new work, although its record stays ready and is written again. The next
+/// process under its id gets work.
+#[test]
+fn leaving_gets_nothing() {
+    let mut directory = Directory::default();
+    directory.apply("a", process(1_000, false), ms(0));
+    assert!(directory.leave("a", Some(1_000), ms(10)));
+    assert!(!directory.leave("a", Some(1_000), ms(11)));
+    assert!(names(&directory, 20).is_empty());
+    directory.apply("a", process(1_000, false), ms(30));
+    assert!(names(&directory, 30).is_empty());
+    directory.apply("a", process(9_000, false), ms(40));
+    assert_eq!(names(&directory, 40), ["a"]);
+    assert!(!directory.leave("a", Some(1_000), ms(50)));
+    assert_eq!(names(&directory, 50), ["a"]);
+}
+
+/// A target that leaves stays out after its record lapsed with the log and returned.
+#[test]
+fn leaving_outlives_lapse() {
+    let mut directory = Directory::default();
+    directory.apply("a", process(1_000, false), ms(0));
+    directory.leave("a", Some(1_000), ms(10));
+    directory.apply("a", None, ms(100));
+    assert!(directory.target("a").is_none(), "left on purpose");
+    directory.expire(ms(5_000));
+    directory.apply("a", process(1_000, false), ms(6_000));
+    assert!(names(&directory, 6_000).is_empty());
+}
+
+/// What leaves is told to others for a while, and not passed on by them.
+#[test]
+fn leaving_is_reported() {
+    let mut directory = Directory::default();
+    directory.apply("a", process(1_000, false), ms(0));
+    directory.leave("a", Some(1_000), ms(10));
+    assert_eq!(directory.reports(ms(20)), [(key("a"), Some(1_000))]);
+    let mut other = Directory::default();
+    other.apply("a", process(1_000, false), ms(0));
+    assert!(other.receive(key("a"), Some(1_000), ms(20)));
+    assert!(names(&other, 20).is_empty());
+    assert!(other.reports(ms(20)).is_empty());
+    assert!(directory.reports(ms(60_000)).is_empty());
+    assert!(names(&directory, 60_000).is_empty());
+}
--- a/tests/entry_memory.rs
+++ b/tests/entry_memory.rs
@@ -8,7 +8,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use jujubehook::entry::platform::{Call, Failure, LocalBoxFuture, Reply, Targets};
+use jujubehook::entry::platform::{Call, Failure, LocalBoxFuture, Notice, Ordered, Reply, Targets};
 use jujubehook::entry::{Answer, Prompt, Request, Target};
 use smol::Timer;
 
@@ -20,6 +20,12 @@
 /// Maximum time for which memory may stay reserved without a request, as agreed with the engines.
 const MAX_LEAK: Duration = Duration::from_secs(4);
 
+/// Confirmation of a call.
+const DONE: Ordered = Ordered {
+    done: true,
+    notice: Notice { leaving: false },
+};
+
 /// Memory that is reserved from a time on.
 #[derive(Debug)]
 struct Reservation {
@@ -54,14 +60,14 @@
         Box::pin(async { true })
     }
 
-    fn release<'a>(&'a self, _: &'a Target, ticket: &'a str) -> LocalBoxFuture<'a, bool> {
+    fn release<'a>(&'a self, _: &'a Target, ticket: &'a str) -> LocalBoxFuture<'a, Ordered> {
         let now = Instant::now();
         let frees =
             |reservation: &Reservation| reservation.ticket == ticket && reservation.from <= now;
         self.reservations
             .borrow_mut()
             .retain(|reservation| !frees(reservation));
-        Box::pin(async { true })
+        Box::pin(async { DONE })
     }
 
     fn reserve<'a>(
@@ -70,14 +76,14 @@
         ticket: &'a str,
         _: u32,
         _: Duration,
-    ) -> LocalBoxFuture<'a, bool> {
+    ) -> LocalBoxFuture<'a, Ordered> {
         let from = Instant::now() + CALL_DELAY;
         *self.calls.borrow_mut() += 1;
         self.reservations.borrow_mut().push(Reservation {
             from,
             ticket: ticket.into(),
         });
-        Box::pin(async { false })
+        Box::pin(async { Ordered::default() })
     }
 
     fn send(&self, _: Call) -> LocalBoxFuture<'_, Result<Reply, Failure>> {
--- a/tests/entry_panic.rs
+++ b/tests/entry_panic.rs
@@ -7,7 +7,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use jujubehook::entry::platform::{Call, Failure, LocalBoxFuture, Reply, Targets};
+use jujubehook::entry::platform::{Call, Failure, LocalBoxFuture, Ordered, Reply, Targets};
 use jujubehook::entry::{Answer, Prompt, Request, Target};
 
 /// Targets whose client fails for the request with this id, and reaches nothing for others.
@@ -22,8 +22,8 @@
         Box::pin(async { true })
     }
 
-    fn release<'a>(&'a self, _: &'a Target, _: &'a str) -> LocalBoxFuture<'a, bool> {
-        Box::pin(async { true })
+    fn release<'a>(&'a self, _: &'a Target, _: &'a str) -> LocalBoxFuture<'a, Ordered> {
+        Box::pin(async { Ordered::default() })
     }
 
     fn reserve<'a>(
@@ -32,8 +32,8 @@
         _: &'a str,
         _: u32,
         _: Duration,
-    ) -> LocalBoxFuture<'a, bool> {
-        Box::pin(async { true })
+    ) -> LocalBoxFuture<'a, Ordered> {
+        Box::pin(async { Ordered::default() })
     }
 
     fn send(&self, call: Call) -> LocalBoxFuture<'_, Result<Reply, Failure>> {
