entry: Leave targets alone for the time that they ask for

Callers saw: 429 while another target was free: a target that refuses looks idle and draws requests, and each refusal costs one of the repeats that all instances may make. Cause: `Retry-After` of a target's refusal was not read. Ruled out: to tell other instances: a target asks the instance that it answers, and others learn it by their own first request. Change: a target that answers 503 or 429 with `Retry-After` gets nothing from this instance until the end of that time, not as the last resort either; its place goes to other targets. If all of a service pause for longer than a request may wait, it is refused at once, with the time to the first end and up to half of it more, so that callers do not all return at once.

--- a/src/entry/instance.rs
+++ b/src/entry/instance.rs
@@ -11,8 +11,8 @@
 use super::platform::{Decoder, Directive, Log, Notice, Targets, Topic};
 use super::{
     key, Budgets, ColdLimiter, Config, Directory, Engine, Fold, FragmentKey, Health, Load, Members,
-    Metrics, Quarantine, Reachability, Record, Service, Settings, Slowdowns, Target, TargetKey,
-    View,
+    Metrics, Pauses, Quarantine, Reachability, Record, Service, Settings, Slowdowns, Target,
+    TargetKey, View,
 };
 use crate::clock::Clock;
 use crate::event;
@@ -33,6 +33,7 @@
     heartbeat_requests: (Sender<()>, Receiver<()>),
     pub(super) incarnation: Incarnation,
     pub(super) members: RefCell<Members>,
+    pub(super) pauses: RefCell<Pauses>,
     pub(super) slowdowns: RefCell<Slowdowns>,
     /// Metrics.
     pub metrics: Metrics,
@@ -79,6 +80,7 @@
             incarnation: fastrand::u64(1..),
             members: RefCell::new(Members::new(&*settings.instance)),
             metrics: Metrics::new()?,
+            pauses: RefCell::default(),
             slowdowns: RefCell::default(),
             source: Source::new(clock.clone(), &*settings.instance, &*settings.domain),
             clock,
@@ -172,13 +174,15 @@
     }
 
     /// The usable targets of a service and their load, without the `tried` ones. Targets that reached the limit for
-    /// cold targets are returned but admit no request. Suspected targets are returned only if `all` is set.
+    /// cold targets are returned but admit no request. Suspected targets are returned only if `all` is set, those that
+    /// pause never.
     pub(super) fn engines(&self, service: &Service, tried: &[TargetKey], all: bool) -> Vec<Engine> {
         let now = self.clock.now();
         let usable = self.directory.borrow().usable(&service.name, now);
         let loads = self.view.borrow().loads(now);
         let settings = self.settings.borrow();
         let health = self.health.borrow();
+        let pauses = self.pauses.borrow();
         let slowdowns = self.slowdowns.borrow();
         let reachability = self.reachability.borrow();
         let names = self.members.borrow().names();
@@ -187,7 +191,8 @@
             let key = target.key();
             let is_suspect =
                 health.is_suspect(key, now) || reachability.is_unreachable(&target.domain);
-            if (!all && is_suspect) || tried.contains(&key) {
+            let is_paused = pauses.left(key, now).is_some();
+            if (!all && is_suspect) || is_paused || tried.contains(&key) {
                 continue;
             }
             let found = loads.binary_search_by_key(&key, |(known, _)| *known);
@@ -212,6 +217,16 @@
         engines
     }
 
+    /// Time until the first target of a service ends its pause; none if one does not pause, or if there is no target.
+    pub(super) fn pause_left(&self, service: &Service) -> Option<Duration> {
+        let now = self.clock.now();
+        let pauses = self.pauses.borrow();
+        let usable = self.directory.borrow().usable(&service.name, now);
+        let left = |target: &Rc<Target>| pauses.left(target.key(), now).unwrap_or_default();
+        let left = usable.iter().map(left).min()?;
+        (!left.is_zero()).then_some(left)
+    }
+
     /// Applies what a target stated about itself.
     pub(super) fn apply_notice(&self, target: &Target, notice: Notice) {
         let now = self.clock.now();
@@ -227,6 +242,17 @@
                 self.request_heartbeat();
             }
         }
+        if let Some(time) = notice.pause {
+            let is_new = self.pauses.borrow_mut().start(target.key(), time, now);
+            if is_new {
+                event!(
+                    self.source,
+                    "target_paused",
+                    target = target.id.as_str(),
+                    ms = time.as_millis() as u64
+                );
+            }
+        }
     }
 
     /// Records that a target did not accept a connection in time.
@@ -289,6 +315,7 @@
         self.view.borrow_mut().expire(now);
         self.directory.borrow_mut().expire(now);
         self.slowdowns.borrow_mut().expire(now);
+        self.pauses.borrow_mut().expire(now);
         let mut quarantine = self.quarantine.borrow_mut();
         quarantine.expire(now);
         let banned = quarantine.all_banned();
--- a/src/entry/platform.rs
+++ b/src/entry/platform.rs
@@ -80,6 +80,8 @@
 pub struct Notice {
     /// It is about to exit and wants no new work.
     pub leaving: bool,
+    /// Time for which it wants no request from this instance.
+    pub pause: Option<Duration>,
 }
 
 /// Answer of a target to a call about memory.
--- a/src/entry/serve/find.rs
+++ b/src/entry/serve/find.rs
@@ -40,7 +40,7 @@
         let since = instance.clock.now();
         let until = since + max_wait;
         loop {
-            match self.choose() {
+            match self.choose(until.saturating_sub(instance.clock.now())) {
                 Choice::Place(placement) => {
                     if let Some(in_flight) = self.claim(&placement).await {
                         return Ok((placement, in_flight));
@@ -72,10 +72,11 @@
                 .map(|engine| u64::from(engine.load.running))
                 .sum::<u64>()
         );
-        let (kind, retry) = if !engines.is_empty() {
-            (Kind::Overloaded, RETRY_AFTER)
-        } else {
-            (Kind::Unavailable, RETRY_AFTER_UNAVAILABLE)
+        let (kind, retry) = match instance.pause_left(&self.service) {
+            // Callers that return at the same time would find one target.
+            Some(left) => (Kind::Overloaded, left.mul_f64(1.0 + fastrand::f64() / 2.0)),
+            None if !engines.is_empty() => (Kind::Overloaded, RETRY_AFTER),
+            None => (Kind::Unavailable, RETRY_AFTER_UNAVAILABLE),
         };
         // An earlier send may have run, so the error must not report that the request was not run.
         let kind = if self.runs > 0 {
@@ -142,14 +143,18 @@
         }
     }
 
-    fn choose(&self) -> Choice {
+    /// Chooses targets for a request that waits for `max_wait` at most.
+    fn choose(&self, max_wait: Duration) -> Choice {
         let instance = &self.instance;
         let mut engines = instance.engines(&self.service, &self.tried, false);
         if engines.is_empty() {
             engines = instance.engines(&self.service, self.excluded(), true);
         }
-        if engines.is_empty() && !self.excluded().is_empty() {
-            return Choice::Refuse;
+        if engines.is_empty() {
+            let pause = instance.pause_left(&self.service);
+            if pause.is_some_and(|left| left > max_wait) || !self.excluded().is_empty() {
+                return Choice::Refuse;
+            }
         }
         let now = instance.clock.now();
         let seed = fastrand::u64(..);
--- a/tests/entry_memory.rs
+++ b/tests/entry_memory.rs
@@ -23,7 +23,10 @@
 /// Confirmation of a call.
 const DONE: Ordered = Ordered {
     done: true,
-    notice: Notice { leaving: false },
+    notice: Notice {
+        leaving: false,
+        pause: None,
+    },
 };
 
 /// Memory that is reserved from a time on.
