entry, platform: Never let a broken stream look whole

Callers saw: the head and text of an error in the middle of their stream, or a stream that ended as complete though it had broken. Cause: an event was forwarded if it ended with an empty line and had the next id, whatever its lines were; an answer continued a stream if its status was a success and no part of an event was left over, so one without a body ended it as whole. Ruled out: to refuse every empty continuation: a stream may break behind its last event (`nothing_left`); one whose end is marked and that has the head of the stream is taken. An error that is written within one line of an event cannot be told from its data. Change: lines of an event must be fields (those of the standard and one of the platform), end alike, and hold one id. A stream goes on only with status 200 and the content type that the caller has.

--- a/src/entry/platform.rs
+++ b/src/entry/platform.rs
@@ -97,8 +97,12 @@
 pub struct Reply {
     /// Body.
     pub body: Box<dyn Body>,
+    /// Fields of events that targets add to those of the standard.
+    pub event_fields: &'static [&'static str],
     /// Address or id of another target that caused the failure, if the answer names one.
     pub fault: Option<String>,
+    /// Whether the end of the body is marked; otherwise the connection ends with it.
+    pub framed: bool,
     /// Headers to forward to the caller.
     pub headers: HeaderMap,
     /// Whether the target states that it did not run the request.
--- a/src/entry/relay.rs
+++ b/src/entry/relay.rs
@@ -42,7 +42,8 @@
 
 impl Relay {
     /// A stream whose first events have arrived.
-    pub(super) fn new(exchange: Exchange, opened: Opened) -> Relay {
+    pub(super) fn new(mut exchange: Exchange, opened: Opened) -> Relay {
+        exchange.begin_stream(&opened.headers);
         let resumable = exchange.route.kind == RouteKind::Stream { resumable: true };
         Relay {
             body: opened.body,
--- a/src/entry/serve/mod.rs
+++ b/src/entry/serve/mod.rs
@@ -11,11 +11,13 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use http::header::{HeaderValue, CONTENT_TYPE};
+use http::{HeaderMap, StatusCode};
 use smol::Timer;
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::config::RouteKind;
-use super::platform::Failure;
+use super::platform::{Failure, Reply};
 use super::{
     fragment_key, Answer, Content, FragmentKey, Instance, Relay, Request, Route, Service, TargetKey,
 };
@@ -50,6 +52,8 @@
     pub(super) instance: Rc<Instance>,
     /// Time at which the request times out: the caller's deadline or the route's timeout, whichever is earlier.
     pub(super) deadline: Duration,
+    /// Content type of the stream that the caller already has a part of.
+    content_type: Option<HeaderValue>,
     /// Fragments of the prompt that other requests may have too.
     fragments: Vec<FragmentKey>,
     priority: u8,
@@ -186,6 +190,7 @@
             .count_request(&service.name, arrival);
         Ok(Exchange {
             arrival,
+            content_type: None,
             instance: self.clone(),
             deadline: arrival + timeout,
             fragments,
@@ -285,6 +290,18 @@
         }
     }
 
+    /// Remembers the head of the stream that the caller gets.
+    pub(super) fn begin_stream(&mut self, headers: &HeaderMap) {
+        self.content_type = headers.get(CONTENT_TYPE).cloned();
+    }
+
+    /// Whether an answer may continue the stream that the caller has a part of. A later error, or an answer of another
+    /// type, is no part of it.
+    fn continues(&self, reply: &Reply) -> bool {
+        reply.status == StatusCode::OK
+            && reply.headers.get(CONTENT_TYPE) == self.content_type.as_ref()
+    }
+
     /// Spends a retry from the budget; false if the limits of the route or the budget allow none.
     pub(super) fn take_retry(&self) -> bool {
         if self.runs >= self.route.max_attempts
--- a/src/entry/serve/send.rs
+++ b/src/entry/serve/send.rs
@@ -133,7 +133,10 @@
                 Err(failure) => Outcome::Failed(failure),
             };
         }
-        let mut events = Events::after(last_event_id);
+        if self.resumes && !self.continues(&reply) {
+            return Outcome::Failed(Failure::Broken);
+        }
+        let mut events = Events::after(last_event_id).with_fields(reply.event_fields);
         let mut first = Bytes::new();
         while first.is_empty() {
             first = match reply.body.next().await {
@@ -142,6 +145,8 @@
                     Err(failure) => return Outcome::Failed(failure),
                 },
                 Some(Err(failure)) => return Outcome::Failed(failure),
+                // What is empty and ends with its connection may have been cut off.
+                None if self.resumes && !reply.framed => return Outcome::Failed(Failure::Broken),
                 None if events.is_whole() => break,
                 None => return Outcome::Failed(Failure::Broken),
             };
--- a/tests/entry_events.rs
+++ b/tests/entry_events.rs
@@ -69,3 +69,29 @@
             assert_eq!(out, text);
         });
 }
+
+/// Lines that are no fields end a stream before they reach the caller: an error that a target writes behind a part of an
+/// event, or a second run that begins there.
+#[test]
+fn foreign_lines_are_errors() {
+    for bad in [
+        &b"id: 5\ndata: xHTTP/1.1 500 Broken\r\nContent-Length: 2\r\n\r\n"[..],
+        b"id: 5\ndata: x\nHTTP/1.1 500 Broken\n\n",
+        b"id: 5\r\ndata: x\n\n",
+        b"id: 5\ndata: x\ncontent-length: 2\n\n",
+        b"id: 5\ndata: xid: 5\nid: 5\ndata: y\n\n",
+        b"id: 5\nx-weight: 3\n\n",
+        b"id: 5\ndata: x\n\n\r\n",
+    ] {
+        assert!(Events::after(Some(4)).push(bad).is_err(), "{bad:?}");
+    }
+    for good in [
+        &b"id: 5\ndata: x\n\n"[..],
+        b": note\nid: 5\nevent: token\nretry: 3\ndata: x\ndata\n\n",
+        b"id:5\r\ndata:x\r\n\r\n",
+        b"x-weight: 3\nid: 5\ndata: x\n\n",
+    ] {
+        let mut events = Events::after(Some(4)).with_fields(&["x-weight"]);
+        assert_eq!(&events.push(good).unwrap()[..], good);
+    }
+}
