entry: Let a few instances of each domain read the log for the others

Callers see: nothing; operators see fewer calls to the log, which have a price. Cause: each instance follows both topics itself, so each change ends as many polls as there are instances. Ruled out: readers with fixed seats or leases: heartbeats say who reads with success. To share reads where changes have to be known within 2 s: the end of a reader is noticed only after the timeout of heartbeats (2 s), so there all instances read as before. Change: in each domain, the three live instances with the highest hash that read with success do so; an instance reads unless it hears of three such ones. The others fetch what a heartbeat says is new, from their own domain first, and read the log once if that fails, and every 30 s. A reader's polls are a second shorter, for the way of the records. Heartbeats tell which topics the sender reads. Why it works: `entry_members` shows three of 19 at rest, and others within the bound after all readers ended, were refused by the log or fell silent; `shared_reads` shows the same with seven processes (it failed with 4.6 to 4.8 s after connections fell silent before polls were shortened).

--- a/src/entry/follow.rs
+++ b/src/entry/follow.rs
@@ -3,7 +3,7 @@
 
 use smol::Timer;
 
-use super::member::Entry;
+use super::member::{shares_reads, Entry};
 use super::platform::{LogError, Topic, ANSWER_TIMEOUT};
 use super::Instance;
 use crate::event;
@@ -17,8 +17,17 @@
 /// Minimum time for which the log holds a read open, even if a bound is shorter. Each call has a cost.
 const MIN_POLL: Duration = Duration::from_millis(500);
 
-/// Number of instances for which polls get longer by one minimum: an instance learns what others know from heartbeats.
-const INSTANCES_PER_POLL: f64 = 6.0;
+/// Number of readers for which polls get longer by one minimum: an instance learns what others know from heartbeats.
+const READERS_PER_POLL: f64 = 6.0;
+
+/// Time in which records of a reader reach the other instances: two heartbeats and a transfer.
+const PASS_ON_TIME: Duration = Duration::from_secs(1);
+
+/// Time after which an instance reads a topic itself although others read it for it.
+const MAX_UNREAD: Duration = Duration::from_secs(30);
+
+/// Time between two looks whether this instance has to read a topic.
+const TURN_INTERVAL: Duration = Duration::from_millis(250);
 
 /// Minimum time between two reads of a topic, so that a topic that changes all the time costs few calls. It is far
 /// below the time within which a change has to be in force.
@@ -121,15 +130,18 @@
     let mut last_answer = instance.clock.now();
     let mut whole = true;
     loop {
+        let wait = if whole {
+            Duration::ZERO
+        } else {
+            wait_for_turn(instance, topic, last_answer).await
+        };
         let end = instance.ends()[topic as usize];
         let read = if whole {
             instance.log.newest(topic).await
         } else {
-            instance
-                .log
-                .read(topic, end, poll_time(instance, topic))
-                .await
+            instance.log.read(topic, end, wait).await
         };
+        instance.set_reads(topic, read.is_ok() && instance.is_reader(topic));
         match read {
             Ok(batch) => {
                 count(instance, topic.name(), "ok");
@@ -182,19 +194,36 @@
     }
 }
 
+/// Waits while other instances read a topic and pass it on. Returns the time for which the log holds the read open.
+async fn wait_for_turn(instance: &Instance, topic: Topic, last_answer: Duration) -> Duration {
+    loop {
+        if instance.is_reader(topic) {
+            return poll_time(instance, topic);
+        }
+        instance.set_reads(topic, false);
+        let is_late = instance.clock.now() >= last_answer + MAX_UNREAD;
+        if instance.take_must_read(topic) || is_late {
+            return Duration::ZERO;
+        }
+        Timer::after(TURN_INTERVAL).await;
+    }
+}
+
 /// Time for which the log holds a read open: random, so that reads which began together do not end together. A silent
 /// connection is noticed only at the end of a read, and at least one instance has to notice within the bound.
 fn poll_time(instance: &Instance, topic: Topic) -> Duration {
-    let bound = {
-        let settings = instance.settings.borrow();
-        match topic {
-            Topic::Instances | Topic::Operator => settings.apply_bound,
-            Topic::Targets => settings.drain_bound,
-        }
+    let bound = instance.bound(topic);
+    let pass_on = match shares_reads(bound) {
+        true => PASS_ON_TIME,
+        false => Duration::ZERO,
     };
-    let shortest = bound.saturating_sub(ANSWER_TIMEOUT).max(MIN_POLL);
-    let live = instance.members.borrow().live(instance.clock.now()).count() + 1;
-    let factor = (live as f64 / INSTANCES_PER_POLL).max(1.0);
+    let shortest = bound.saturating_sub(ANSWER_TIMEOUT + pass_on).max(MIN_POLL);
+    let readers = instance
+        .members
+        .borrow()
+        .readers(topic, instance.clock.now())
+        + 1;
+    let factor = (readers as f64 / READERS_PER_POLL).max(1.0);
     let longest = shortest.mul_f64(factor).min(MAX_POLL).max(shortest);
     shortest + (longest - shortest).mul_f64(fastrand::f64())
 }
--- a/src/entry/heartbeat.rs
+++ b/src/entry/heartbeat.rs
@@ -68,6 +68,8 @@
     pub fragments: Report,
     /// Targets that said to the sender that they leave, and the starts of their processes in Unix milliseconds.
     pub leaving: Vec<(TargetKey, Option<u64>)>,
+    /// Topics that the sender reads from the log with success, in the order of `Topic::ALL`.
+    pub reads: [bool; 3],
 }
 
 impl Heartbeat {
@@ -84,6 +86,7 @@
             && self.ends == before.ends
             && self.fragments.repeats(&before.fragments)
             && self.leaving == before.leaving
+            && self.reads == before.reads
             && self.suspects.len() == before.suspects.len()
             && unfinished(self) == unfinished(before)
     }
--- a/src/entry/member.rs
+++ b/src/entry/member.rs
@@ -2,18 +2,35 @@
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+use super::platform::Topic;
 use super::Heartbeat;
 use crate::id::{DomainId, Incarnation, InstanceId, Offset};
 
 /// Time without a heartbeat after which an instance counts as unreachable: several lost heartbeats at the lowest rate.
 const HEARTBEAT_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Number of instances of a failure domain that read a topic from the log; the others get its records from them. Two may
+/// fail at the same time.
+const READERS_PER_DOMAIN: usize = 3;
+
+/// Time within which a change has to be known for which a few instances read the log: others notice the end of a reader
+/// after the timeout of heartbeats, then read themselves.
+const MIN_SHARED_BOUND: Duration = Duration::from_secs(3);
+
+/// Whether a few instances read a topic for the others, if changes have to be known within `bound`.
+pub(super) fn shares_reads(bound: Duration) -> bool {
+    bound >= MIN_SHARED_BOUND
+}
+
 /// Another instance.
 #[derive(Clone, Debug)]
 pub struct Member {
     /// Address for heartbeats and transfers.
     pub address: SocketAddr,
+    /// Failure domain; empty before its first heartbeat.
+    pub domain: DomainId,
     /// Ends of the topics that it knows, in the order of `Topic::ALL`.
     pub ends: [Offset; 3],
     /// Number of its process, drawn at the start.
@@ -22,6 +39,8 @@
     pub instance: InstanceId,
     /// Time of its last heartbeat.
     pub last_heartbeat: Option<Duration>,
+    /// Topics that it reads from the log, in the order of `Topic::ALL`.
+    pub reads: [bool; 3],
 }
 
 /// Record that an instance writes about itself.
@@ -66,10 +85,12 @@
                 at,
                 Member {
                     address,
+                    domain: DomainId::new(),
                     ends: [0; 3],
                     incarnation: 0,
                     instance: instance.to_owned(),
                     last_heartbeat: None,
+                    reads: [false; 3],
                 },
             ),
             (Err(_), None) => {}
@@ -87,6 +108,8 @@
             .binary_search_by(|member| member.instance.cmp(&heartbeat.instance));
         if let Ok(at) = found {
             let member = &mut self.list[at];
+            member.domain.clone_from(&heartbeat.domain);
+            member.reads = heartbeat.reads;
             member.ends = heartbeat.ends;
             member.last_heartbeat = Some(now);
             member.incarnation = heartbeat.incarnation;
@@ -118,9 +141,48 @@
         names
     }
 
-    /// A live instance that knows a topic beyond `end`. Consecutive values of `turn` select each of them in turn.
-    pub fn ahead(&self, topic: usize, end: Offset, now: Duration, turn: usize) -> Option<&Member> {
-        let ahead = || self.live(now).filter(|member| member.ends[topic] > end);
+    /// A live instance that knows a topic beyond `end`, preferably in the failure domain `domain`. Consecutive values of
+    /// `turn` select each of them in turn.
+    pub fn ahead(
+        &self,
+        topic: Topic,
+        end: Offset,
+        now: Duration,
+        domain: &str,
+        turn: usize,
+    ) -> Option<&Member> {
+        let is_ahead = |member: &&Member| member.ends[topic as usize] > end;
+        let local = || {
+            self.live(now)
+                .filter(is_ahead)
+                .filter(|member| member.domain == domain)
+        };
+        if let Some(at) = turn.checked_rem(local().count()) {
+            return local().nth(at);
+        }
+        let ahead = || self.live(now).filter(is_ahead);
         ahead().nth(turn.checked_rem(ahead().count())?)
     }
+
+    /// Whether this instance, in the failure domain `domain`, reads a topic from the log itself: unless enough live
+    /// instances there with a higher hash do so with success. `bound` is the time within which changes have to be known.
+    pub fn is_reader(&self, topic: Topic, domain: &str, bound: Duration, now: Duration) -> bool {
+        if !shares_reads(bound) {
+            return true;
+        }
+        let weight = |name: &str| xxh3_64_with_seed(name.as_bytes(), topic as u64);
+        let own = weight(&self.name);
+        let readers = self.live(now).filter(|member| {
+            member.domain == domain
+                && member.reads[topic as usize]
+                && weight(&member.instance) > own
+        });
+        readers.count() < READERS_PER_DOMAIN
+    }
+
+    /// Number of live instances that read a topic from the log, without this one.
+    pub fn readers(&self, topic: Topic, now: Duration) -> usize {
+        let readers = self.live(now).filter(|member| member.reads[topic as usize]);
+        readers.count()
+    }
 }
--- a/src/entry/peer.rs
+++ b/src/entry/peer.rs
@@ -155,6 +155,7 @@
             .collect(),
         fragments: instance.quarantine.borrow().report(now),
         leaving: instance.directory.borrow().reports(now),
+        reads: instance.reads.get(),
     }
 }
 
@@ -243,23 +244,31 @@
         let end = instance.ends()[at];
         let member = {
             let members = instance.members.borrow();
-            members.ahead(at, end, now, turn).cloned()
+            let settings = instance.settings.borrow();
+            let ahead = members.ahead(topic, end, now, &settings.domain, turn);
+            ahead.cloned()
         };
         let Some(member) = member else {
             behind = None;
             continue;
         };
         let since = *behind.get_or_insert(now);
-        if now >= since + FETCH_DELAY {
-            fetch(&instance, topic, end, &member).await;
+        let delay = match instance.is_reader(topic) {
+            true => FETCH_DELAY,
+            false => Duration::ZERO,
+        };
+        if now >= since + delay {
+            if !fetch(&instance, topic, end, &member).await {
+                instance.must_read(topic);
+            }
             // A member whose heartbeats arrive may still be unreachable from here.
             turn = turn.wrapping_add(1);
         }
     }
 }
 
-/// Fetches the records of a topic from `end` on and applies them.
-async fn fetch(instance: &Instance, topic: Topic, end: Offset, member: &Member) {
+/// Fetches the records of a topic from `end` on and applies them; false if that failed.
+async fn fetch(instance: &Instance, topic: Topic, end: Offset, member: &Member) -> bool {
     let from = if instance.knows(topic) { end } else { 0 };
     let request = Fetch {
         from,
@@ -278,6 +287,7 @@
                 whole = fetched.whole
             );
             instance.apply(topic, fetched.records, fetched.end, fetched.whole);
+            true
         }
         Err(error) => {
             event!(
@@ -288,6 +298,7 @@
                 from = member.instance.as_str(),
                 error = error.to_string()
             );
+            false
         }
     }
 }
