entry: Do not panic when a service has no engine left

Cause: the first engines are split off as those for short prompts, at least one, also of none. Traced by the panic at place/single.rs in its output; it is not the load that fails, which only lets the request come between the two. Result: `no_engine_is_left` fails on the code before ("mid > len"); `entry_place` 12 passed.

--- a/src/entry/place/mod.rs
+++ b/src/entry/place/mod.rs
@@ -123,6 +123,9 @@
     engines: &[Engine],
     seed: u64,
 ) -> Choice {
+    if engines.is_empty() {
+        return Choice::Wait;
+    }
     let mut order: Vec<&Engine> = engines.iter().collect();
     order.sort_by_key(|engine| (engine.slowdown >= SLOW_FROM, engine.key));
     let short_engines = short_engines(&order, profile, requirements.unseen);
--- a/tests/entry_place.rs
+++ b/tests/entry_place.rs
@@ -187,3 +187,13 @@
         assert!(engine.unwrap().slowdown < 2.0);
     }
 }
+
+/// Pattern: all engines of a service are gone, leave or pause. Requests wait for one, whatever their prompts.
+#[test]
+fn no_engine_is_left() {
+    for requirements in [chat(), contract(), long(400_000)] {
+        let choice = place(&requirements, &profile(), &[], 1);
+        assert!(!matches!(choice, Choice::Place(_)), "{choice:?}");
+    }
+    assert!(matches!(place(&chat(), &profile(), &[], 1), Choice::Wait));
+}
