--- a/src/entry/place/mod.rs
+++ b/src/entry/place/mod.rs
@@ -22,8 +22,8 @@
 /// Time for which a request with a short prompt runs, by which their rate follows from their number.
 const SHORT_RUN_TIME: Duration = Duration::from_secs(2);
 
-/// Engines that are compared for a request with a short prompt, for each engine that may be chosen and each request that
-/// is not known yet: all instances would choose the same engines if they compared all of them.
+/// Number of unseen requests up to which all engines are compared; with more, the share that is compared falls. Instances
+/// with the same old news would choose the same engines if each of them compared all.
 const COMPARED_SHARE: f64 = 4.0;
 
 /// Minimum number of engines that are compared.
--- a/tests/entry_herd.rs
+++ b/tests/entry_herd.rs
@@ -173,8 +173,8 @@
     (times, fullest)
 }
 
-/// Load patterns: a steady stream of 265 chats a second, and a burst of 660, at 95 instances before 195 engines, which
-/// have room for 1,900. One in fifty is late at most.
+/// Load patterns: a steady stream of 265 chats a second, and a burst of 660, at 95 instances before 195 engines that are far
+/// from full. One in fifty is late at most.
 #[test]
 fn old_news() {
     for per_s in [265, 660] {
