remote: Leave out single entries of the instance list that cannot be read

Cause: the daemon decoded the list as one value. Ruled out: an end of the process (the decoder has a limit of depth and returns an error). Change: entries are decoded one by one; those left out are named in one log line each, at each new version.

--- a/src/daemon/task/list.rs
+++ b/src/daemon/task/list.rs
@@ -24,6 +24,9 @@
                     version = listing.version,
                     instances = listing.instances.len()
                 );
+                for fault in &listing.faults {
+                    event!(warn, state.source, "list_entry_unreadable", reason = fault);
+                }
                 state.set_listing(listing);
                 let targets = state.targets();
                 let now = state.clock.now();
--- a/src/remote/list.rs
+++ b/src/remote/list.rs
@@ -5,6 +5,7 @@
 use jujubehook_http::{Client, Reuse, Traffic};
 
 use super::call::{call, decode};
+use super::listing::Raw;
 use super::{Error, Listing, Settings};
 
 /// A client of the instance list.
@@ -33,7 +34,7 @@
         }
     }
 
-    /// Fetches the list; `None` if its version is still `version`.
+    /// Fetches the list; `None` if its version is still `version`. Entries that cannot be read are left out.
     ///
     /// # Errors
     /// Fails with either kind of error; a fetch has no effect.
@@ -52,10 +53,10 @@
             self.settings.timeout,
         )
         .await?;
-        let Some(mut listing) = decode::<Listing>(status, &bytes)? else {
+        let Some(raw) = decode::<Raw>(status, &bytes)? else {
             return Ok(None);
         };
-        listing.instances.sort_by(|a, b| a.id.cmp(&b.id));
+        let listing = raw.decode();
         if let Some(pair) = listing.instances.windows(2).find(|w| w[0].id == w[1].id) {
             return Err(Error::Unknown(format!(
                 "id `{}` is listed twice",
