entry: Let no event follow the largest id

Cause: the check for consecutive ids added one to the last id. For a caller that resumes at 2^64 - 1 this wrapped in a release build, and a stream that begins again at 0 counted as its continuation; in a build with checks it ended the connection's task. Change: checked addition. Result: last_id failed on the code before (attempt to add with overflow), passes now.

--- a/src/entry/events.rs
+++ b/src/entry/events.rs
@@ -64,7 +64,7 @@
             let event = &self.buffer[complete..complete + length];
             let id = event_id(event).ok_or(Failure::Broken)?;
             self.returns = self.check_lines(event)?;
-            if last.is_some_and(|last| id != last + 1) {
+            if last.is_some_and(|last| last.checked_add(1) != Some(id)) {
                 return Err(Failure::Broken);
             }
             last = Some(id);
--- a/tests/entry_events.rs
+++ b/tests/entry_events.rs
@@ -95,3 +95,13 @@
         assert_eq!(&events.push(good).unwrap()[..], good);
     }
 }
+
+/// No event follows the largest id.
+#[test]
+fn last_id() {
+    for id in ["0", "18446744073709551615", "18446744073709551616"] {
+        let event = format!("id: {id}\n\n");
+        let outcome = Events::after(Some(u64::MAX)).push(event.as_bytes());
+        assert!(outcome.is_err(), "{id}");
+    }
+}
