http: Reset connections when they are closed

Cause: the daemon's client closed the connection of an abandoned request, so the kernel delivered bytes held up by a cut long after it (docs/incidents/late-bytes.md; listed as red: abandoned_request).

--- a/http/src/client.rs
+++ b/http/src/client.rs
@@ -1,8 +1,10 @@
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
+use std::time::Duration;
 
 use http_types::{Body, Method, Request, Response, Url};
 use smol::net::TcpStream;
+use socket2::SockRef;
 
 use crate::meter::Meter;
 use crate::socket::Socket;
@@ -184,6 +186,9 @@
         .await
         .map_err(|error| Error::Connect(address.to_string(), error))?;
     let _ = stream.set_nodelay(true);
+    // A later close resets the connection. The kernel would otherwise go on delivering what a cut has held up, long
+    // after the request was abandoned.
+    let _ = SockRef::from(&stream).set_linger(Some(Duration::ZERO));
     Ok(stream)
 }
 
