entry: Send heartbeats once to each other failure domain

Ruled out: one relay seat for each domain (its end or freeze blinds a domain for the timeout), fewer heartbeats (older views). Change: a heartbeat goes to the live instances of the sender's own domain and to one instance of each other domain, another one each time, which passes the same datagram on in its domain; to two at rest. Instances that are not live get it directly, so domains find each other again after a cut. Heartbeats carry the address of their sender.

--- a/src/entry/heartbeat.rs
+++ b/src/entry/heartbeat.rs
@@ -1,3 +1,5 @@
+use std::net::SocketAddr;
+
 use serde::{Deserialize, Serialize};
 
 use super::quarantine::Report;
@@ -44,6 +46,8 @@
 /// The types of a heartbeat are encoded by position, so the order of their fields must not change.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Heartbeat {
+    /// Address of the sender for heartbeats and transfers; none stands for the address that the datagram comes from.
+    pub address: Option<SocketAddr>,
     /// Failure domain of the sender.
     pub domain: DomainId,
     /// Ends of the topics as known to the sender, in the order of `Topic::ALL`.
--- a/src/entry/member.rs
+++ b/src/entry/member.rs
@@ -43,6 +43,18 @@
     pub reads: [bool; 3],
 }
 
+impl Member {
+    /// Whether heartbeats of it arrive.
+    pub fn is_live(&self, now: Duration) -> bool {
+        self.is_heard_within(HEARTBEAT_TIMEOUT, now)
+    }
+
+    /// Whether its last heartbeat arrived within `time`.
+    pub(super) fn is_heard_within(&self, time: Duration, now: Duration) -> bool {
+        self.last_heartbeat.is_some_and(|at| now < at + time)
+    }
+}
+
 /// Record that an instance writes about itself.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub(crate) struct Entry {
@@ -97,11 +109,12 @@
         }
     }
 
-    /// Applies a heartbeat; an unknown instance is added.
-    pub fn receive(&mut self, heartbeat: &Heartbeat, address: SocketAddr, now: Duration) {
+    /// Applies a heartbeat, whose datagram came from the address `from`; an unknown instance is added.
+    pub fn receive(&mut self, heartbeat: &Heartbeat, from: SocketAddr, now: Duration) {
         if heartbeat.instance == self.name {
             return;
         }
+        let address = heartbeat.address.unwrap_or(from);
         self.apply(&heartbeat.instance, Some(address));
         let found = self
             .list
@@ -121,13 +134,14 @@
         &self.list
     }
 
+    /// Name of this instance.
+    pub(super) fn name(&self) -> &str {
+        &self.name
+    }
+
     /// Instances from which heartbeats arrive.
     pub fn live(&self, now: Duration) -> impl Iterator<Item = &Member> {
-        self.list.iter().filter(move |member| {
-            member
-                .last_heartbeat
-                .is_some_and(|at| now < at + HEARTBEAT_TIMEOUT)
-        })
+        self.list.iter().filter(move |member| member.is_live(now))
     }
 
     /// Names of all known instances including this one, reachable or not.
--- a/src/entry/peer.rs
+++ b/src/entry/peer.rs
@@ -11,7 +11,7 @@
 use smol::Timer;
 
 use super::platform::{LocalBoxFuture, Topic};
-use super::{Heartbeat, Instance, Member, Record};
+use super::{Fanout, Heartbeat, Instance, Member, Record};
 use crate::event;
 use crate::id::Offset;
 
@@ -36,6 +36,12 @@
 /// Maximum size of a datagram; fits the rows of over a thousand targets.
 const MAX_DATAGRAM_BYTES: usize = 60 << 10;
 
+/// First byte of a datagram whose heartbeat is only read.
+const READ_ONLY: u8 = 0;
+
+/// First byte of a datagram whose heartbeat is read and passed on to the live instances of the receiver's failure domain.
+const PASS_ON: u8 = 1;
+
 /// Request for the records of a topic from an offset on.
 #[derive(Debug, Deserialize, Serialize)]
 struct Fetch {
@@ -89,49 +95,82 @@
         sequence += 1;
         heartbeat.sequence = sequence;
         heartbeat.time = instance.clock.tick();
-        let Ok(bytes) = rmp_serde::to_vec(&heartbeat) else {
-            event!(error, instance.source, "beat_unwritable");
-            continue;
-        };
-        for address in recipients(&instance, now, all) {
-            // The protocol tolerates lost datagrams.
-            if let Err(error) = socket.send_to(&bytes, address).await {
-                event!(
-                    debug,
-                    instance.source,
-                    "beat_unsent",
-                    to = address.to_string(),
-                    error = error.to_string()
-                );
-            }
-            instance.metrics.heartbeats.inc();
+        match encode(&heartbeat) {
+            Ok(datagram) => spread(&instance, &socket, datagram, sequence, all).await,
+            Err(error) => event!(
+                error,
+                instance.source,
+                "beat_unwritable",
+                error = error.to_string()
+            ),
         }
         (last, sent) = (heartbeat, now);
     }
 }
 
+/// A heartbeat in a datagram that is not passed on.
+fn encode(heartbeat: &Heartbeat) -> Result<Vec<u8>, rmp_serde::encode::Error> {
+    let mut datagram = vec![READ_ONLY];
+    rmp_serde::encode::write(&mut datagram, heartbeat)?;
+    Ok(datagram)
+}
+
+/// Sends a heartbeat to other instances.
+async fn spread(
+    instance: &Instance,
+    socket: &UdpSocket,
+    mut datagram: Vec<u8>,
+    sequence: u64,
+    all: bool,
+) {
+    let fanout = recipients(instance, sequence, all);
+    for address in fanout.direct {
+        send(instance, socket, &datagram, address).await;
+    }
+    datagram[0] = PASS_ON;
+    for address in fanout.relays {
+        send(instance, socket, &datagram, address).await;
+    }
+}
+
+/// Sends a datagram. The protocol tolerates lost ones.
+async fn send(instance: &Instance, socket: &UdpSocket, datagram: &[u8], address: SocketAddr) {
+    if let Err(error) = socket.send_to(datagram, address).await {
+        event!(
+            debug,
+            instance.source,
+            "beat_unsent",
+            to = address.to_string(),
+            error = error.to_string()
+        );
+    }
+    instance.metrics.heartbeats.inc();
+}
+
 /// Time between two heartbeats while requests start and end.
 pub(super) fn interval(instance: &Instance) -> Duration {
     let others = u32::try_from(instance.members.borrow().list().len()).unwrap_or(u32::MAX);
     HEARTBEAT_INTERVAL + INTERVAL_PER_INSTANCE.saturating_mul(others)
 }
 
-/// Recipients of a heartbeat: live instances or, with `all`, every known instance and the seeds that are not known yet.
-fn recipients(instance: &Instance, now: Duration, all: bool) -> Vec<SocketAddr> {
+/// Recipients of a heartbeat; with `all` also the seeds that are not known yet.
+fn recipients(instance: &Instance, sequence: u64, all: bool) -> Fanout {
     let members = instance.members.borrow();
-    if !all {
-        return members.live(now).map(|member| member.address).collect();
-    }
-    let mut addresses: Vec<SocketAddr> =
-        members.list().iter().map(|member| member.address).collect();
     let settings = instance.settings.borrow();
-    for seed in settings.seeds.iter().filter(|seed| **seed != settings.ip) {
+    let now = instance.clock.now();
+    let mut fanout = members.fanout(&settings.domain, sequence, all, now);
+    let seeds = settings.seeds.iter().filter(|seed| **seed != settings.ip);
+    for seed in seeds.filter(|_| all) {
         let address = SocketAddr::new(*seed, settings.peer_port);
-        if !addresses.contains(&address) {
-            addresses.push(address);
+        if !members
+            .list()
+            .iter()
+            .any(|member| member.address == address)
+        {
+            fanout.direct.push(address);
         }
     }
-    addresses
+    fanout
 }
 
 fn heartbeat(instance: &Instance, now: Duration) -> Heartbeat {
@@ -139,6 +178,7 @@
     let health = instance.health.borrow();
     let millis = |time: Duration| time.as_millis() as u32;
     Heartbeat {
+        address: Some(settings.peer_address()),
         domain: settings.domain.clone(),
         ends: instance.ends(),
         incarnation: instance.incarnation,
@@ -180,7 +220,10 @@
                 continue;
             }
         };
-        match rmp_serde::from_slice::<Heartbeat>(&buffer[..length]) {
+        let Some((way, bytes)) = buffer[..length].split_first() else {
+            continue;
+        };
+        match rmp_serde::from_slice::<Heartbeat>(bytes) {
             Ok(heartbeat) => receive(&instance, &heartbeat, from),
             Err(error) => {
                 event!(
@@ -190,11 +233,25 @@
                     from = from.to_string(),
                     error = error.to_string()
                 );
+                continue;
+            }
+        }
+        if *way == PASS_ON {
+            buffer[0] = READ_ONLY;
+            for address in neighbors(&instance) {
+                send(&instance, &socket, &buffer[..length], address).await;
             }
         }
     }
 }
 
+/// Addresses of the live instances of this failure domain.
+fn neighbors(instance: &Instance) -> Vec<SocketAddr> {
+    let (members, settings) = (instance.members.borrow(), instance.settings.borrow());
+    let neighbors = members.neighbors(&settings.domain, instance.clock.now());
+    neighbors.collect()
+}
+
 fn receive(instance: &Instance, heartbeat: &Heartbeat, from: SocketAddr) {
     let now = instance.clock.now();
     instance.clock.merge(heartbeat.time);
