entry: Send the largest prompts while enough engines are free, not all

Cause: a prompt that no number of engines can prefill within its objective was sent only while all engines for long prompts were free. Ruled out by a test: memory and the deadline (the same prompt is placed if all engines are free). Change: it is sent if all engines are free, as before, or three times as many as it uses at most, and to free ones only. Result: largest_prompt_at_size failed before (Wait); largest_prompt_in_burst guards the other side.

--- a/src/entry/place/split.rs
+++ b/src/entry/place/split.rs
@@ -21,6 +21,10 @@
 /// newer work.
 const BACKGROUND_SHARE: f64 = 0.6;
 
+/// Number of free engines with which a background request is sent, if not all are free: three times what it gets at most,
+/// so that prompts which can still be on time find enough.
+const MIN_FREE: usize = 3 * MAX_PARTS;
+
 impl Placer<'_> {
     /// Places a prompt on several engines: within its objective, or else as background work.
     pub(super) fn place_split(&self) -> Choice {
@@ -80,15 +84,18 @@
         best.map(|(_, placement)| placement)
     }
 
-    /// A background placement on as many engines as possible, if all candidates are free.
+    /// A background placement on as many free engines as possible, if all candidates or enough of them are free. In a
+    /// large fleet some engine is always busy.
     fn in_background(&self, short: bool) -> Option<Placement> {
         let candidates = self.candidates(short);
         let is_free = |engine: &Engine| engine.backlog() + engine.background() <= MAX_BACKLOG;
-        if !candidates.iter().all(|(_, engine)| is_free(engine)) {
+        let free = candidates.iter().filter(|(_, engine)| is_free(engine));
+        let free: Vec<(usize, &Engine)> = free.copied().collect();
+        if free.len() < candidates.len().min(MIN_FREE) {
             return None;
         }
         let limit = self.requirements.deadline.mul_f64(BACKGROUND_SHARE);
-        let placement = self.place_on(candidates.len().min(MAX_PARTS), &candidates, short)?;
+        let placement = self.place_on(free.len().min(MAX_PARTS), &free, short)?;
         (placement.wait <= limit).then_some(Placement {
             background: true,
             ..placement
--- a/tests/entry_place.rs
+++ b/tests/entry_place.rs
@@ -152,6 +152,37 @@
     assert!(reserved + placement.primary_tokens >= requirements.tokens);
 }
 
+/// Pattern: the largest prompts in a large fleet, where some engine is always busy. They are sent while far more engines
+/// are free than they need, and only to free ones.
+#[test]
+fn largest_prompt_at_size() {
+    let mut engines = engines(195);
+    for engine in engines.iter_mut().step_by(3) {
+        engine.load.backlog = ms(300);
+    }
+    let placement = placed(place(&long(900_000), &profile(), &engines, 7));
+    assert!(placement.background);
+    let used = placement.helpers.iter().map(|helper| &helper.target);
+    for target in used.chain([&placement.primary]) {
+        let engine = engines.iter().find(|engine| engine.key == target.key());
+        assert_eq!(engine.unwrap().load.backlog, ms(0));
+    }
+}
+
+/// Pattern: the largest prompts in a burst of exports. They wait while what is left free is needed for prompts that can
+/// still be on time.
+#[test]
+fn largest_prompt_in_burst() {
+    let mut engines = engines(195);
+    for engine in engines.iter_mut().skip(45) {
+        engine.load.backlog = ms(300);
+    }
+    assert!(matches!(
+        place(&long(900_000), &profile(), &engines, 7),
+        Choice::Wait
+    ));
+}
+
 /// Pattern: a prompt that no number of engines can prefill within its objective. It is sent as background work.
 #[test]
 fn late_prompt_gives_way() {
