entry: Let most instances try rarely while the log is away

Ruled out: no tries by the others (the log may serve just them). Change: where a few instances read for the others, three of each domain, by hash among the live ones, try as often as before; the others wait up to 2.4 s.

--- a/src/entry/follow.rs
+++ b/src/entry/follow.rs
@@ -39,6 +39,10 @@
 /// Maximum pause after a failed call: the time limit for a change to be in force counts from the return of the log.
 const MAX_RETRY_PAUSE: Duration = Duration::from_millis(800);
 
+/// The same for an instance that is not among those that try often: the others notice the return of the log and pass on
+/// what they read.
+const MAX_RARE_RETRY_PAUSE: Duration = Duration::from_millis(2_400);
+
 /// Starts following all topics and registers this instance.
 pub(super) fn start(instance: &Rc<Instance>) {
     for topic in [Topic::Operator, Topic::Targets] {
@@ -85,7 +89,7 @@
                     "instances_unread",
                     reason = format!("{error:?}")
                 );
-                pause = (pause * 2).min(MAX_RETRY_PAUSE);
+                pause = longer(pause, instance, Topic::Instances);
             }
         }
         Timer::after(pause.mul_f64(0.5 + fastrand::f64() / 2.0)).await;
@@ -188,7 +192,8 @@
                     );
                 }
                 is_lost = true;
-                pause = back_off(pause).await;
+                Timer::after(pause.mul_f64(0.5 + fastrand::f64() / 2.0)).await;
+                pause = longer(pause, instance, topic);
             }
         }
     }
@@ -232,10 +237,13 @@
     instance.clock.now().saturating_sub(since).as_millis() as u64
 }
 
-/// Waits for a random share of the pause and returns the next pause.
-async fn back_off(pause: Duration) -> Duration {
-    Timer::after(pause.mul_f64(0.5 + fastrand::f64() / 2.0)).await;
-    (pause * 2).min(MAX_RETRY_PAUSE)
+/// The pause after one more failed call for a topic.
+fn longer(pause: Duration, instance: &Instance, topic: Topic) -> Duration {
+    let max = match instance.tries_often(topic) {
+        true => MAX_RETRY_PAUSE,
+        false => MAX_RARE_RETRY_PAUSE,
+    };
+    (pause * 2).min(max)
 }
 
 pub(super) fn count(instance: &Instance, topic: &str, outcome: &str) {
--- a/src/entry/instance.rs
+++ b/src/entry/instance.rs
@@ -191,6 +191,14 @@
         members.is_reader(topic, domain, bound, self.clock.now())
     }
 
+    /// Whether this instance tries often to read a topic while nobody does so with success.
+    pub(super) fn tries_often(&self, topic: Topic) -> bool {
+        let bound = self.bound(topic);
+        let domain = &self.settings.borrow().domain;
+        let members = self.members.borrow();
+        members.tries_often(topic, domain, bound, self.clock.now())
+    }
+
     /// Requests that a topic is read from the log once.
     pub(super) fn must_read(&self, topic: Topic) {
         set(&self.must_read, topic, true);
--- a/src/entry/member.rs
+++ b/src/entry/member.rs
@@ -24,6 +24,11 @@
     bound >= MIN_SHARED_BOUND
 }
 
+/// Hash by which instances are chosen to read a topic.
+fn weight(instance: &str, topic: Topic) -> u64 {
+    xxh3_64_with_seed(instance.as_bytes(), topic as u64)
+}
+
 /// Another instance.
 #[derive(Clone, Debug)]
 pub struct Member {
@@ -184,16 +189,28 @@
         if !shares_reads(bound) {
             return true;
         }
-        let weight = |name: &str| xxh3_64_with_seed(name.as_bytes(), topic as u64);
-        let own = weight(&self.name);
+        let own = weight(&self.name, topic);
         let readers = self.live(now).filter(|member| {
             member.domain == domain
                 && member.reads[topic as usize]
-                && weight(&member.instance) > own
+                && weight(&member.instance, topic) > own
         });
         readers.count() < READERS_PER_DOMAIN
     }
 
+    /// Whether this instance, in the failure domain `domain`, is one of those that try often to read a topic while nobody
+    /// there does so with success: those with the highest hash. The others try rarely then, since each call has a cost.
+    pub fn tries_often(&self, topic: Topic, domain: &str, bound: Duration, now: Duration) -> bool {
+        if !shares_reads(bound) {
+            return true;
+        }
+        let own = weight(&self.name, topic);
+        let before = self
+            .live(now)
+            .filter(|member| member.domain == domain && weight(&member.instance, topic) > own);
+        before.count() < READERS_PER_DOMAIN
+    }
+
     /// Number of live instances that read a topic from the log, without this one.
     pub fn readers(&self, topic: Topic, now: Duration) -> usize {
         let readers = self.live(now).filter(|member| member.reads[topic as usize]);
--- a/tests/entry_members.rs
+++ b/tests/entry_members.rs
@@ -57,6 +57,14 @@
         self.members[at].is_reader(Topic::Operator, "north", BOUND, self.now)
     }
 
+    /// Those of these instances that try often.
+    fn trying(&self, among: &[usize]) -> Vec<usize> {
+        let among = among.iter().copied();
+        let tries =
+            |at: &usize| self.members[*at].tries_often(Topic::Operator, "north", BOUND, self.now);
+        among.filter(tries).collect()
+    }
+
     /// Live instances that read with success.
     fn readers(&self, fails: &[usize]) -> Vec<usize> {
         let all = (0..self.members.len()).filter(|at| !fails.contains(at));
@@ -150,3 +158,33 @@
     assert_eq!([ahead(5, 0), ahead(5, 1)], [Some("b"), Some("d")]);
     assert_eq!(ahead(9, 0), None);
 }
+
+/// The log is away for all: a few instances of the domain go on trying often, and again others after these have ended.
+#[test]
+fn log_is_away() {
+    let mut domain = Domain::new(19);
+    let all: Vec<usize> = (0..19).collect();
+    for _ in 0..4 {
+        domain.round(&[], &all);
+    }
+    assert!(all.iter().all(|at| domain.is_reader(*at)));
+    let often = domain.trying(&all);
+    assert_eq!(often.len(), READERS);
+    for _ in 0..5 {
+        domain.round(&often, &all);
+    }
+    let left: Vec<usize> = all.into_iter().filter(|at| !often.contains(at)).collect();
+    assert_eq!(domain.trying(&left).len(), READERS);
+}
+
+/// An instance without neighbors tries often, and so does each one with a bound too short to wait for others.
+#[test]
+fn alone_tries_often() {
+    let alone = Members::new("i-0");
+    assert!(alone.tries_often(Topic::Operator, "north", BOUND, ms(0)));
+    let mut domain = Domain::new(19);
+    domain.round(&[], &[]);
+    for member in &domain.members {
+        assert!(member.tries_often(Topic::Operator, "north", ms(2_000), domain.now));
+    }
+}
