--- a/src/entry/place/mod.rs
+++ b/src/entry/place/mod.rs
@@ -7,7 +7,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use super::view::RECENT;
 use super::{Engine, Profile, Target};
 
 /// Maximum number of engines that prefill one prompt: the primary and sixteen helpers.
@@ -17,9 +16,6 @@
 /// instances send before their next heartbeat.
 const TARGET_FILL: f64 = 0.75;
 
-/// Factor by which the number of unseen requests may grow within one heartbeat, when a burst begins.
-const SURGE: f64 = 3.0;
-
 /// Minimum number of requests with short prompts for which engines are kept that are not known yet.
 const MIN_UNSEEN: f64 = 2.0;
 
@@ -33,12 +29,9 @@
 /// Minimum number of engines that are compared.
 const MIN_COMPARED: usize = 2;
 
-/// Requests with short prompts that are sent within `interval`, if `running` of them run and `recent` were sent within
-/// [`RECENT`]. When a burst begins, few run and many are sent.
-pub fn unseen_requests(running: u32, recent: usize, interval: Duration) -> f64 {
-    let ended = f64::from(running) / SHORT_RUN_TIME.as_secs_f64();
-    let sent = recent as f64 / RECENT.as_secs_f64();
-    ended.max(sent) * interval.as_secs_f64()
+/// Requests with short prompts that are sent within `interval` if `running` of them run.
+pub fn unseen_requests(running: u32, interval: Duration) -> f64 {
+    f64::from(running) * interval.as_secs_f64() / SHORT_RUN_TIME.as_secs_f64()
 }
 
 /// Maximum prefill time of a prompt that is placed on a single engine; a decode pass takes about as long.
@@ -156,7 +149,7 @@
         .iter()
         .fold(0u32, |sum, engine| sum.saturating_add(engine.load.short));
     let each = (f64::from(profile.slots) * TARGET_FILL).max(1.0);
-    let needed = ((f64::from(short) + (unseen * SURGE).max(MIN_UNSEEN)) / each).ceil() as usize + 1;
+    let needed = ((f64::from(short) + unseen.max(MIN_UNSEEN)) / each).ceil() as usize + 1;
     let long_engines = order.len().div_ceil(8);
     needed.min(order.len().saturating_sub(long_engines).max(1))
 }
--- a/src/entry/place/single.rs
+++ b/src/entry/place/single.rs
@@ -11,17 +11,6 @@
 const PREFERRED_SHARE: f64 = 0.5;
 
 impl Placer<'_> {
-    /// Cost, as time, of the requests at an engine beyond the target fill, with one more; the last slot costs as much as
-    /// makes another engine preferable. Another instance may take the last slots before its next heartbeat, and a request
-    /// without a slot waits until another one ends.
-    fn crowd_cost(&self, engine: &Engine) -> Duration {
-        let slots = f64::from(self.profile.slots);
-        let fill = (slots * TARGET_FILL).floor();
-        let beyond = f64::from(engine.load.running) + 1.0 - fill;
-        let share = beyond.max(0.0) / (slots - fill).max(1.0);
-        self.requirements.objective.mul_f64(PREFERRED_SHARE * share)
-    }
-
     /// Places a prompt on a single engine: the one that finishes its prefill first, preferably one for short prompts.
     pub(super) fn place_single(&self) -> Choice {
         let (preferred_engines, other_engines) = self.order.split_at(self.short_engines);
@@ -72,8 +61,7 @@
             let pass = engine.pass_time(self.profile);
             // Engines process parts of split prompts before whole prompts, regardless of arrival.
             let ahead = engine.backlog() + engine.background();
-            let crowd = self.crowd_cost(engine);
-            ahead + pass + self.prefill_time.mul_f64(engine.slowdown) + remote + crowd
+            ahead + pass + self.prefill_time.mul_f64(engine.slowdown) + remote
         };
         let fits = |engine: &Engine| engine.fits(self.profile, self.requirements.tokens);
         let candidates = engines
--- a/src/entry/serve/find.rs
+++ b/src/entry/serve/find.rs
@@ -177,14 +177,13 @@
         let prompt = self.request.prompt.unwrap_or_default();
         let running = engines.iter().map(|engine| engine.load.short);
         let short = running.fold(0, u32::saturating_add);
-        let recent = instance.view.borrow().recent_sends(now);
         let requirements = Requirements {
             deadline: self.time_left_to_start(now),
             gap: self.route.gap,
             objective: (self.arrival + self.route.objective).saturating_sub(now),
             prompt: saturate(prompt.tokens),
             tokens: saturate(prompt.tokens.saturating_add(prompt.max_tokens)),
-            unseen: unseen_requests(short, recent, peer::interval(instance)),
+            unseen: unseen_requests(short, peer::interval(instance)),
         };
         place(&requirements, profile, &engines, seed)
     }
--- a/src/entry/view.rs
+++ b/src/entry/view.rs
@@ -14,9 +14,6 @@
 /// The same for a prompt with short parts, which delay others little. Keeps heartbeats small.
 const SHORT_PART_RETENTION: Duration = Duration::from_millis(400);
 
-/// Time over which sends are counted: for this long each of them is reported.
-pub const RECENT: Duration = SHORT_PART_RETENTION;
-
 /// Maximum prefill time of a short part.
 const SHORT_PART: Duration = Duration::from_millis(60);
 
@@ -217,18 +214,6 @@
         self.own.len()
     }
 
-    /// Prompts that were sent whole to one target within [`RECENT`], by all instances as far as this one knows.
-    pub fn recent_sends(&self, now: Duration) -> usize {
-        let is_recent = |start: Duration, prefill: &Prefill| {
-            prefill.targets.len() == 1 && now < start.saturating_add(RECENT)
-        };
-        let own = self.prefills.iter();
-        let own = own.filter(|own| is_recent(own.start, &own.prefill));
-        let peers = self.peers.iter().flat_map(|peer| &peer.prefills);
-        let peers = peers.filter(|other| is_recent(other.start, &other.prefill));
-        own.count().saturating_add(peers.count())
-    }
-
     /// Running requests of this instance by target, sorted by target.
     pub fn rows(&self) -> Vec<Row> {
         let mut rows: Vec<Row> = Vec::new();
