entry: Move who reads the log into a file of its own

Change: the functions on readers are in src/entry/reader.rs, unchanged; one field is visible in the module.

--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -33,6 +33,7 @@
 pub mod proof;
 pub mod quarantine;
 mod reachability;
+mod reader;
 mod relay;
 mod request;
 mod reservation;
