review: Add a case on bans of sound fragments

Three replicas that crash within a second while they read prompts with the same shared part get the part banned: proper requests end with 422 at all instances (DENIED).

--- /dev/null
+++ b/review/standin/replica.py
@@ -0,0 +1,89 @@
+"""Stand-in for a model replica: one process, so that it can be killed. Usage: replica.py ID ADDRESS PORT
+
+Prints one line an event: `reads ID FRAGMENT`, `first ID FRAGMENT`, `done ID FRAGMENT`.
+Its times follow the page: 154 prompt tokens a millisecond, 0.162 ms for a million pairs, 1.31 ms a step, events of 34
+tokens. A prompt is read in even parts by the replica and the helpers that the request lists."""
+import asyncio
+import os
+import signal
+import sys
+
+NAME, HOST, PORT = sys.argv[1], sys.argv[2], int(sys.argv[3])
+busy_until = 0.0
+
+
+def say(*words):
+    print(*words, flush=True)
+
+
+async def head(reader):
+    line = await reader.readline()
+    if not line:
+        return None
+    headers = {}
+    while (raw := await reader.readline()) not in (b"\r\n", b""):
+        name, _, value = raw.decode().partition(":")
+        headers[name.strip().lower()] = value.strip()
+    body = await reader.readexactly(int(headers.get("content-length", 0)))
+    return line.decode().split()[:2], headers, body
+
+
+async def serve(reader, writer):
+    try:
+        while (request := await head(reader)) is not None:
+            await answer(request, writer)
+            await writer.drain()
+    except (ConnectionError, asyncio.IncompleteReadError):
+        pass
+    finally:
+        writer.close()
+
+
+async def answer(request, writer):
+    global busy_until
+    (method, path), headers, _ = request
+    own = f"X-Request-Id: {headers.get('x-request-id', '')}\r\nX-Server-Signature: {NAME}\r\n"
+    if headers.get("x-target-instance", NAME) != NAME:
+        writer.write(f"HTTP/1.1 421 Misdirected Request\r\n{own}X-Instance-Id: {NAME}\r\nContent-Length: 0\r\n\r\n".encode())
+        return
+    if method == "GET" or path == "/jujubehook/order":
+        body = b'{"free":405000}'
+        writer.write(f"HTTP/1.1 200 OK\r\nX-Instance-Id: {NAME}\r\nContent-Length: {len(body)}\r\n\r\n".encode() + body)
+        return
+    tokens = int(headers["x-token-usage"].split(",")[0])
+    fragment = headers["x-prompt-prefix"].split(":")[0]
+    parts = 1 + len([h for h in headers.get("x-helper-replicas", "").split(",") if h])
+    prefill = (tokens / 154 + tokens * tokens / 2e6 * 0.162) / parts / 1e3
+    now = asyncio.get_running_loop().time()
+    busy_until = max(busy_until, now) + prefill
+    name = headers["x-request-id"]
+    say("reads", name, fragment)
+    await asyncio.sleep(busy_until - now + 0.02)
+    say("first", name, fragment)
+    writer.write(f"HTTP/1.1 200 OK\r\n{own}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n".encode())
+    start = int(headers.get("last-event-id", 0))
+    for number in range(start + 1, 13):
+        event = f"id: {number}\ndata: {name}\n\n".encode()
+        writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
+        await writer.drain()
+        await asyncio.sleep(34 * (1.31 + tokens / 1e3 * 0.00213) / 1e3)
+    writer.write(b"0\r\n\r\n")
+    say("done", name, fragment)
+
+
+async def main():
+    server = await asyncio.start_server(serve, HOST, PORT)
+
+    def crash():
+        # The port closes first, as if the machine had lost all sockets at once; then the process ends without a word.
+        for listener in server.sockets:
+            os.close(listener.fileno())
+        os.kill(os.getpid(), signal.SIGKILL)
+
+    asyncio.get_running_loop().add_signal_handler(signal.SIGUSR1, crash)
+    say("ready", NAME, "-")
+    async with server:
+        await server.serve_forever()
+
+
+asyncio.run(main())
