--- a/review/standin/world.py
+++ b/review/standin/world.py
@@ -186,7 +186,7 @@
             what, name, fragment = line.decode().split()
             if what == "reads":
                 self.reading[name] = (fragment, time.monotonic())
-            else:
+            elif what in ("first", "done"):
                 self.reading.pop(name, None)
             self.on_event(self, what, name, fragment)
 
@@ -205,7 +205,7 @@
         return listener.getsockname()[1]
 
 
-async def ask(ip, path, name, tokens, fragment, deadline_ms):
+async def ask(ip, path, name, tokens, fragment, deadline_ms, answer_tokens=408):
     """One client attempt on a connection of its own; its status, or 0 if the connection broke before one."""
     try:
         reader, writer = await asyncio.open_connection(ip, 8227)
@@ -215,7 +215,7 @@
     try:
         writer.write((
             f"POST {path} HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: {name}\r\nX-Model-Name: m\r\n"
-            f"X-Token-Usage: {tokens},408\r\nX-Prompt-Prefix: {fragment}:40,{name}:{tokens - 40}\r\n"
+            f"X-Token-Usage: {tokens},{answer_tokens}\r\nX-Prompt-Prefix: {fragment}:40,{name}:{tokens - 40}\r\n"
             f"X-Request-Deadline: {deadline_ms}\r\nX-Api-Key: {KEY}\r\nConnection: close\r\nContent-Length: 2\r\n\r\n{{}}").encode())
         async with asyncio.timeout(deadline_ms / 1e3 + 1):
             line = await reader.readline()
