review: Add a case on memory that waits for a target that is gone

The fourth entry of KNOWN-RED.txt (LEAK): a request keeps its reservations for five seconds at a target that fell silent for good, if another service has its address by the time of the probe.

--- a/review/standin/replica.py
+++ b/review/standin/replica.py
@@ -13,6 +13,7 @@
 NAME, HOST, PORT = sys.argv[1], sys.argv[2], int(sys.argv[3])
 TOTAL = 405000
 busy_until = 0.0
+dark = False
 tickets = {}  # tokens and end of the lease, by id
 
 
@@ -43,6 +44,7 @@
 async def watch():
     while True:
         await asyncio.sleep(0.02)
+        await wait_if_dark()
         expire(asyncio.get_running_loop().time())
 
 
@@ -73,8 +75,27 @@
         writer.close()
 
 
+async def serve_other(reader, writer):
+    """The replica of another service that has the address now."""
+    try:
+        while (request := await head(reader)) is not None:
+            name = request[1].get("x-request-id", "")
+            writer.write(f"HTTP/1.1 421 Misdirected Request\r\nX-Request-Id: {name}\r\nX-Instance-Id: {NAME}-other\r\nContent-Length: 0\r\n\r\n".encode())
+            await writer.drain()
+    except (ConnectionError, asyncio.IncompleteReadError):
+        pass
+    finally:
+        writer.close()
+
+
+async def wait_if_dark():
+    if dark:
+        await asyncio.Event().wait()
+
+
 async def answer(request, writer):
     global busy_until
+    await wait_if_dark()
     (method, path), headers, received = request
     own = f"X-Request-Id: {headers.get('x-request-id', '')}\r\nX-Server-Signature: {NAME}\r\n"
     if headers.get("x-target-instance", NAME) != NAME:
@@ -100,10 +121,12 @@
             say("uses", name, helper.split("/")[1])
     say("reads", name, fragment)
     await asyncio.sleep(busy_until - now + 0.02)
+    await wait_if_dark()
     say("first", name, fragment)
     writer.write(f"HTTP/1.1 200 OK\r\n{own}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n".encode())
     start = int(headers.get("last-event-id", 0))
     for number in range(start + 1, answer_tokens // 34 + 1):
+        await wait_if_dark()
         event = f"id: {number}\ndata: {name}\n\n".encode()
         writer.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
         await writer.drain()
@@ -121,11 +144,23 @@
             os.close(listener.fileno())
         os.kill(os.getpid(), signal.SIGKILL)
 
+    def fall_silent():
+        # Open connections stay without a word; after two seconds a replica of another service has the address.
+        global dark
+        dark = True
+        server.close()
+        asyncio.get_running_loop().call_later(2.0, lambda: asyncio.ensure_future(reuse()))
+
+    async def reuse():
+        await asyncio.start_server(serve_other, HOST, PORT)
+        say("reused", NAME, "-")
+
     asyncio.get_running_loop().add_signal_handler(signal.SIGUSR1, crash)
+    asyncio.get_running_loop().add_signal_handler(signal.SIGUSR2, fall_silent)
     watcher = asyncio.create_task(watch())
     say("ready", NAME, "-")
     async with server:
-        await asyncio.gather(server.serve_forever(), watcher)
+        await watcher
 
 
 asyncio.run(main())
--- a/review/standin/world.py
+++ b/review/standin/world.py
@@ -106,9 +106,10 @@
         "chunk": 2048, "report_lag_ms": 200.0, "usual": {"prompt": 11301, "answer": 408}, "hopMs": 0.1,
     }
     service = {"name": "engines", "healthPath": "/health", "maxConnections": 976, "coldStartS": 3.0, "coldPerS": 36.0, "engine": engine}
+    other = {"name": "other", "healthPath": "/health", "maxConnections": 248, "coldStartS": 0.0, "coldPerS": 0.0}
     limits = {"maxHeaderBytes": 16384, "maxBodyBytes": 4194304, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000}
     tenants = [{"name": "hule930", "apiKeys": [KEY], "priority": 1}]
-    return json.dumps({"version": version, "routes": routes, "services": [service], "limits": limits, "tenants": tenants}).encode()
+    return json.dumps({"version": version, "routes": routes, "services": [service, other], "limits": limits, "tenants": tenants}).encode()
 
 
 def route(name, prefix, timeout_ms, objective_ms, gap_ms):
@@ -119,10 +120,10 @@
     }
 
 
-def entry(address, zone, cold_ms, born):
+def entry(address, zone, cold_ms, born, service="engines"):
     """A replica's entry in the store."""
     return json.dumps({
-        "service": "engines", "address": address, "zone": zone, "version": "v1", "slots": 16, "state": "ready",
+        "service": service, "address": address, "zone": zone, "version": "v1", "slots": 16, "state": "ready",
         "coldRemainingMs": cold_ms, "stage": "hybrid", "models": [{"name": "m", "version": 1, "adapters": []}],
         "sequence": 1, "born": born,
     }).encode()
@@ -193,6 +194,9 @@
     def crash(self):
         self.process.send_signal(signal.SIGUSR1)
 
+    def fall_silent(self):
+        self.process.send_signal(signal.SIGUSR2)
+
     def kill(self):
         if self.process.returncode is None:
             self.process.send_signal(signal.SIGKILL)
