entry: Count targets of broken streams toward the route's maximum

Cause: a stream that broke after its first event gave its attempt back unless its target had fallen silent, since the target cancels the request when the connection breaks. The maximum counts targets at which a request has run, cancelled or not. Ruled out: sends before the first event (they were counted), resends of the connection pool (same address). Change: a target counts if it accepts a new connection after the stream broke; otherwise it ended or is cut off. A stream at the maximum returns to a target that it has used, so resets alone break no stream that could be continued before.

--- a/src/entry/relay.rs
+++ b/src/entry/relay.rs
@@ -166,26 +166,37 @@
         );
         let now = instance.clock.now();
         let key = self.target.key();
-        if failure == Failure::Broken && !self.has_progress {
-            self.exchange.confirm_end(&self.target);
-        }
         if self.exchange.time_left().is_zero() || !self.resumable {
+            if failure == Failure::Broken && !self.has_progress {
+                self.exchange.confirm_end(&self.target);
+            }
             return None;
         }
-        self.exchange.count_run();
-        if failure == Failure::Silent {
-            instance.health.borrow_mut().eject(key, now);
-            instance.targets.discard(self.target.address);
-        } else {
-            instance.health.borrow_mut().record(key, false, now);
-            // The target cancelled the request when the connection broke.
-            self.exchange.forget_run();
+        self.exchange.resumes = true;
+        match failure {
+            Failure::Silent => {
+                instance.health.borrow_mut().eject(key, now);
+                instance.targets.discard(self.target.address);
+                self.exchange.count_run(key);
+            }
+            Failure::Unreachable => instance.health.borrow_mut().record(key, false, now),
+            Failure::Broken | Failure::Unsent => {
+                instance.health.borrow_mut().record(key, false, now);
+                // The request ran at a target whose connection alone was reset.
+                if instance.targets.probe(self.target.address).await {
+                    self.exchange.count_run(key);
+                } else {
+                    instance.mark_unreachable(&self.target);
+                    if !self.has_progress {
+                        self.exchange.record_end(&self.target);
+                    }
+                }
+            }
         }
         if !self.exchange.take_retry() {
             return None;
         }
         self.events.discard_partial();
-        self.exchange.resumes = true;
         let opened = match self.exchange.open(self.events.last()).await {
             Ok(Ok(opened)) => opened,
             Ok(Err(_)) | Err(_) => return None,
--- a/src/entry/serve/find.rs
+++ b/src/entry/serve/find.rs
@@ -81,15 +81,15 @@
             None => (Kind::Unavailable, RETRY_AFTER_UNAVAILABLE),
         };
         // An earlier send may have run, so the error must not report that the request was not run.
-        let kind = if self.runs > 0 {
-            Kind::UpstreamFailed
-        } else {
+        let kind = if self.ran.is_empty() {
             kind
+        } else {
+            Kind::UpstreamFailed
         };
         Err(GivenUp {
             answered: None,
             kind,
-            retry: (self.runs == 0).then_some(retry),
+            retry: self.ran.is_empty().then_some(retry),
         })
     }
 
@@ -158,6 +158,16 @@
                 return Choice::Refuse;
             }
         }
+        if self.resumes && !self.may_use_another() {
+            engines = instance.engines(&self.service, &[], false);
+            // The others may still read parts of the prompt.
+            for engine in &mut engines {
+                engine.admits &= self.ran.contains(&engine.key);
+            }
+            if !engines.iter().any(|engine| engine.admits) {
+                return Choice::Refuse;
+            }
+        }
         let now = instance.clock.now();
         let seed = fastrand::u64(..);
         let Some(profile) = &self.service.profile else {
--- a/src/entry/serve/mod.rs
+++ b/src/entry/serve/mod.rs
@@ -57,16 +57,15 @@
     /// Fragments of the prompt that other requests may have too.
     fragments: Vec<FragmentKey>,
     priority: u8,
+    /// Targets at which the request ran or may have run, which count toward the route's maximum: those that gave a
+    /// complete answer, failed or fell silent. One that ended while it wrote a stream does not count.
+    ran: Vec<TargetKey>,
     /// Targets that refused the request.
     refused: Vec<TargetKey>,
     pub(super) request: Rc<Request>,
     pub(super) route: Rc<Route>,
     /// Whether the caller already has events.
     pub(super) resumes: bool,
-    /// Sends that count toward the route's maximum: those with a complete answer, those that failed and may have run,
-    /// and streams that fell silent. A stream that failed otherwise does not count, since its target cancelled the
-    /// request.
-    runs: u32,
     sends: u32,
     pub(super) service: Rc<Service>,
     tried: Vec<TargetKey>,
@@ -197,11 +196,11 @@
             priority: workspace
                 .and_then(|workspace| workspace.priority)
                 .unwrap_or(route.priority),
+            ran: Vec::new(),
             refused: Vec::new(),
             request: request.clone(),
             route: route.clone(),
             resumes: false,
-            runs: 0,
             sends: 0,
             service: service.clone(),
             tried: Vec::new(),
@@ -242,7 +241,7 @@
             match outcome {
                 Outcome::Opened(opened) => return Ok(Ok(opened)),
                 Outcome::Answered(reply) => {
-                    self.runs += 1;
+                    self.count_run(key);
                     if reply.status.is_success() {
                         self.record_answer();
                     }
@@ -253,7 +252,7 @@
                     answered = Some(reply);
                 }
                 Outcome::Failed(failure) if failure.may_have_run() => {
-                    self.runs += 1;
+                    self.count_run(key);
                     if !self.route.kind.is_repeatable() {
                         return Err(self.outcome_unknown(failure));
                     }
@@ -304,7 +303,7 @@
 
     /// Spends a retry from the budget; false if the limits of the route or the budget allow none.
     pub(super) fn take_retry(&self) -> bool {
-        if self.runs >= self.route.max_attempts
+        if !self.may_use_another() && !self.resumes
             || self.sends >= MAX_SENDS
             || self.time_left().is_zero()
         {
@@ -326,14 +325,16 @@
         has_budget
     }
 
-    /// Takes back the last counted run, because its target has cancelled the request.
-    pub(super) fn forget_run(&mut self) {
-        self.runs = self.runs.saturating_sub(1);
+    /// Counts a target at which the request ran or may have run. A stream that returns to a target uses no further one.
+    pub(super) fn count_run(&mut self, target: TargetKey) {
+        if !self.resumes || !self.ran.contains(&target) {
+            self.ran.push(target);
+        }
     }
 
-    /// Counts the run of a stream that was opened and then failed.
-    pub(super) fn count_run(&mut self) {
-        self.runs += 1;
+    /// Whether the route's maximum allows a target at which the request has not run.
+    fn may_use_another(&self) -> bool {
+        self.ran.len() < self.route.max_attempts as usize
     }
 
     /// The error for a request that may have run and must not be retried.
@@ -352,16 +353,16 @@
     }
 
     fn retries_exhausted(&self) -> GivenUp {
-        let kind = match (self.runs, self.time_left().is_zero()) {
-            (0, true) => Kind::DeadlineRefused,
-            (0, false) => Kind::Overloaded,
-            (_, true) => Kind::DeadlineExceeded,
-            (_, false) => Kind::UpstreamFailed,
+        let kind = match (self.ran.is_empty(), self.time_left().is_zero()) {
+            (true, true) => Kind::DeadlineRefused,
+            (true, false) => Kind::Overloaded,
+            (false, true) => Kind::DeadlineExceeded,
+            (false, false) => Kind::UpstreamFailed,
         };
         GivenUp {
             answered: None,
             kind,
-            retry: (self.runs == 0).then_some(RETRY_AFTER),
+            retry: self.ran.is_empty().then_some(RETRY_AFTER),
         }
     }
 }
--- a/src/entry/serve/quarantine.rs
+++ b/src/entry/serve/quarantine.rs
@@ -20,9 +20,9 @@
         let instance = &self.instance;
         if instance.is_refused(&self.request, &self.fragments) {
             // An earlier send may have run, so the error must not report that the request was not run.
-            let kind = match self.runs {
-                0 => Kind::FragmentBanned,
-                _ => Kind::UpstreamFailed,
+            let kind = match self.ran.is_empty() {
+                true => Kind::FragmentBanned,
+                false => Kind::UpstreamFailed,
             };
             return Some(GivenUp {
                 answered: None,
--- a/src/entry/serve/send.rs
+++ b/src/entry/serve/send.rs
@@ -170,7 +170,8 @@
         } else {
             self.time_left()
         };
-        let may_retry = self.route.kind.is_repeatable() && self.runs + 1 < self.route.max_attempts;
+        let may_retry = self.route.kind.is_repeatable()
+            && self.ran.len() + 1 < self.route.max_attempts as usize;
         if !may_retry {
             Timer::after(limit).await;
             return;
--- a/src/entry/serve/target_end.rs
+++ b/src/entry/serve/target_end.rs
@@ -21,6 +21,12 @@
         };
         self.instance.spawn("target_end", check);
     }
+
+    /// Records that a target ended before it wrote on after the first events.
+    pub(in crate::entry) fn record_end(&self, target: &Target) {
+        let (request, fragments) = (&self.request, &self.fragments);
+        self.instance.record_end(request, fragments, target);
+    }
 }
 
 impl Instance {
