entry: Try suspected fragments before a ban

Cause: three crashes near a fragment counted as proof, though the second and third were seen by repeats of the request that saw the first. Ruled out: answers that do not release a fragment (the trial's answer at 29.6 s released it everywhere); requests in flight elsewhere (none). Change: three crashes make a fragment suspected. One request with it is sent at a time, the first at once, to an engine with the least work; others wait as for an engine, then get 429. The first answer releases the fragment. Two trials whose target ended while no other target did ban it. Ends of targets and failed trials travel in heartbeats; suspicions are recorded in the store.

--- a/src/entry/fragment_record.rs
+++ b/src/entry/fragment_record.rs
@@ -8,10 +8,16 @@
 use super::{FragmentKey, Instance};
 use crate::event;
 
-/// Key prefix of the records of fragments that are banned; the key of the fragment follows.
+/// Key prefix of the records of fragments that are suspected or banned; the key of the fragment follows.
 const PREFIX: &str = "fragment/";
 
-/// Time between two comparisons of the bans with their records.
+/// Value of the record of a banned fragment.
+const BANNED: &[u8] = b"banned";
+
+/// Value of the record of a suspected fragment.
+const SUSPECTED: &[u8] = b"suspected";
+
+/// Time between two comparisons of suspicions and bans with their records.
 const INTERVAL: Duration = Duration::from_millis(500);
 
 /// Pause after a write that failed.
@@ -23,8 +29,13 @@
     FragmentKey::from_str_radix(text, 16).ok()
 }
 
-/// Keeps the bans in the log, so that they outlast a restart of all instances. Of the live instances, the one that owns
-/// the trials of a fragment writes its record.
+/// Whether the record of a restricted fragment says that it is banned.
+pub(super) fn is_banned(value: &[u8]) -> bool {
+    value != SUSPECTED
+}
+
+/// Keeps suspicions and bans in the log, so that they outlast a restart of all instances. Of the live instances, the one
+/// that owns the trials of a banned fragment writes its record.
 pub(super) async fn run(instance: Rc<Instance>) {
     loop {
         Timer::after(INTERVAL).await;
@@ -43,27 +54,28 @@
 
 async fn write_changes(instance: &Instance) -> Result<(), LogError> {
     let recorded = recorded(instance);
-    let banned = instance.quarantine.borrow().all_banned();
-    if recorded == banned || !instance.knows(Topic::Instances) {
+    let restricted = instance.quarantine.borrow().all_restricted();
+    if recorded == restricted || !instance.knows(Topic::Instances) {
         return Ok(());
     }
-    let added = banned
+    let changed = restricted
         .iter()
-        .filter(|fragment| !recorded.contains(fragment));
+        .filter(|entry| !recorded.contains(entry))
+        .map(|(fragment, is_banned)| (*fragment, if *is_banned { BANNED } else { SUSPECTED }));
+    let is_released = |fragment: FragmentKey| {
+        let known = restricted.binary_search_by_key(&fragment, |(known, _)| *known);
+        known.is_err()
+    };
     let removed = recorded
         .iter()
-        .filter(|fragment| !banned.contains(fragment));
+        .filter(|(fragment, _)| is_released(*fragment))
+        // A record without a value removes its key.
+        .map(|(fragment, _)| (*fragment, &b""[..]));
     let mut is_written = false;
-    for fragment in added.chain(removed) {
-        if !instance.owns_trials(*fragment) {
+    for (fragment, value) in changed.chain(removed) {
+        if !instance.owns_trials(fragment) {
             continue;
         }
-        // A record without a value removes its key.
-        let value: &[u8] = if banned.contains(fragment) {
-            b"banned"
-        } else {
-            b""
-        };
         instance
             .log
             .put(&format!("{PREFIX}{fragment:x}"), value)
@@ -77,11 +89,15 @@
     Ok(())
 }
 
-/// The fragments with a record, sorted.
-fn recorded(instance: &Instance) -> Vec<FragmentKey> {
+/// The fragments with a record, and whether they are banned, sorted.
+fn recorded(instance: &Instance) -> Vec<(FragmentKey, bool)> {
     let folds = instance.folds.borrow();
-    let keys = folds[Topic::Instances as usize].keys();
-    let mut fragments: Vec<FragmentKey> = keys.filter_map(fragment).collect();
+    let fold = &folds[Topic::Instances as usize];
+    let entries = fold.keys().filter_map(|key| {
+        let fragment = fragment(key)?;
+        Some((fragment, is_banned(fold.value(key)?)))
+    });
+    let mut fragments: Vec<(FragmentKey, bool)> = entries.collect();
     fragments.sort_unstable();
     fragments
 }
--- a/src/entry/instance.rs
+++ b/src/entry/instance.rs
@@ -328,22 +328,6 @@
         self.metrics.banned_fragments.set(banned.len() as i64);
     }
 
-    /// Logs fragments that are banned from now on, and the targets that ended near them.
-    pub(super) fn log_bans(&self, fragments: &[FragmentKey]) {
-        for fragment in fragments {
-            let targets = self.quarantine.borrow().crash_targets(*fragment);
-            let targets: Vec<String> = targets.into_iter().map(|key| format!("{key:x}")).collect();
-            event!(
-                warn,
-                self.source,
-                "fragment_banned",
-                fragment = event::hex(*fragment),
-                crashes = targets.len(),
-                targets = targets.join(",")
-            );
-        }
-    }
-
     fn apply_instance(&self, record: &Record) {
         if let Some(fragment) = fragment_record::fragment(&record.key) {
             return self.apply_fragment(fragment, record);
@@ -360,12 +344,13 @@
         self.members.borrow_mut().apply(&record.key, address);
     }
 
-    /// Bans a fragment that is recorded as banned. Its removal changes nothing: answers release a fragment.
+    /// Restricts a fragment that is recorded as suspected or banned. Its removal changes nothing: answers release a
+    /// fragment.
     fn apply_fragment(&self, fragment: FragmentKey, record: &Record) {
         let now = self.clock.now();
-        let is_new = record.value.is_some() && self.quarantine.borrow_mut().restore(fragment, now);
-        if is_new {
-            self.log_bans(&[fragment]);
+        if let Some(value) = &record.value {
+            let is_banned = fragment_record::is_banned(value);
+            self.update_quarantine(|quarantine| quarantine.restore(fragment, is_banned, now));
         }
     }
 
--- a/src/entry/peer.rs
+++ b/src/entry/peer.rs
@@ -268,11 +268,7 @@
             now,
         );
     }
-    let banned = instance
-        .quarantine
-        .borrow_mut()
-        .receive(&heartbeat.fragments, now);
-    instance.log_bans(&banned);
+    instance.update_quarantine(|quarantine| quarantine.receive(&heartbeat.fragments, now));
     for (target, started) in &heartbeat.leaving {
         let mut directory = instance.directory.borrow_mut();
         if directory.receive(*target, *started, now) {
--- a/src/entry/quarantine/fragment.rs
+++ b/src/entry/quarantine/fragment.rs
@@ -69,7 +69,7 @@
 
 impl Observation {
     /// Whether both are about the same crash.
-    fn is_same(&self, other: &Observation) -> bool {
+    pub(super) fn is_same(&self, other: &Observation) -> bool {
         self.target == other.target && self.at.abs_diff(other.at) < SAME_CRASH
     }
 }
--- a/src/entry/quarantine/mod.rs
+++ b/src/entry/quarantine/mod.rs
@@ -9,7 +9,7 @@
 use super::{FragmentKey, TargetKey};
 use fragment::{Fragment, Observation};
 pub use report::{Ban, Crash, Report};
-use term::Term;
+use term::{Term, FIRST_INTERVAL};
 
 /// Number of crashes with a fragment after which it is banned.
 const CRASHES: usize = 3;
@@ -29,36 +29,47 @@
 /// Maximum number of fragments whose last answer is remembered.
 const MAX_ANSWERS: usize = 4_096;
 
-/// Maximum number of crashes, of answers and of bans in a report.
+/// Maximum number of crashes, of answers, of bans and of ends in a report.
 const MAX_REPORTED: usize = 64;
 
+/// Maximum number of ends of targets that are remembered, the latest ones.
+const MAX_ENDS: usize = 256;
+
 /// Finds fragments of prompts at which targets crash, and bans them.
 ///
 /// At a crash, all fragments of the requests that the target had not begun to answer are suspects. A fragment that
 /// crashes targets is a suspect at every crash and never answered; a popular fragment is a suspect often too, but answered
-/// in between. So a fragment is banned after several crashes without an answer since; of several such fragments, the one
-/// whose last answer is the oldest. A crash that a banned fragment explains counts for no other fragment.
+/// in between. So a fragment is suspected after several crashes without an answer since; of several such fragments, the
+/// one whose last answer is the oldest. A crash that a suspected fragment explains counts for no other fragment.
+///
+/// Targets also crash for other reasons, several in a row. So a suspected fragment is tried: one request with it is sent
+/// at a time. It is banned after two trials whose target ended while no other target did.
 #[derive(Clone, Debug, Default)]
 pub struct Quarantine {
     /// This instance's last answers, sorted by fragment.
     answers: Vec<(FragmentKey, Duration)>,
+    /// Targets that ended, whatever was sent to them, in order of time.
+    ends: Vec<Observation>,
     /// Sorted by key.
     fragments: Vec<Fragment>,
 }
 
 impl Quarantine {
-    /// Records that a target ended which had not begun to answer a request with these fragments. Returns the fragments
-    /// that are banned from now on.
-    pub fn record_crash(
-        &mut self,
-        fragments: &[FragmentKey],
-        target: TargetKey,
-        now: Duration,
-    ) -> Vec<FragmentKey> {
+    /// Records that a target ended which had not begun to answer a request with these fragments.
+    pub fn record_crash(&mut self, fragments: &[FragmentKey], target: TargetKey, now: Duration) {
+        self.add_end(target, now, true);
         for key in fragments {
             self.add_crash(*key, target, now, true);
         }
-        self.ban_suspects(now)
+        self.suspect(now);
+        for key in fragments {
+            self.judge_trial(*key, now);
+        }
+    }
+
+    /// Records that a target ended, whatever was sent to it.
+    pub fn record_end(&mut self, target: TargetKey, now: Duration) {
+        self.add_end(target, now, true);
     }
 
     /// Records that a target wrote an answer on these fragments.
@@ -78,10 +89,13 @@
         }
     }
 
-    /// Applies another instance's report. Returns the fragments that are banned from now on.
-    pub fn receive(&mut self, report: &Report, now: Duration) -> Vec<FragmentKey> {
+    /// Applies another instance's report.
+    pub fn receive(&mut self, report: &Report, now: Duration) {
         let time = |age_ms: u32| now.saturating_sub(Duration::from_millis(u64::from(age_ms)));
         let mut is_news = false;
+        for (target, age_ms) in &report.ends {
+            self.add_end(*target, time(*age_ms), false);
+        }
         for crash in &report.crashes {
             is_news |= self.add_crash(crash.fragment, crash.target, time(crash.age_ms), false);
         }
@@ -91,16 +105,12 @@
                 self.fragments[at].clear(time(*age_ms));
             }
         }
-        let mut banned: Vec<FragmentKey> = Vec::new();
         for ban in &report.bans {
-            if self.adopt(ban, now) {
-                banned.push(ban.fragment);
-            }
+            self.adopt(ban, now);
         }
         if is_news {
-            banned.extend(self.ban_suspects(now));
+            self.suspect(now);
         }
-        banned
     }
 
     /// What to tell other instances.
@@ -127,6 +137,12 @@
             let ban = fragment.ban.map(|ban| ban.report(fragment.key, now));
             report.bans.extend(ban);
         }
+        let ends = self.ends.iter().rev();
+        let recent = ends.filter(|seen| seen.own && now < seen.at + REPORT_TIME);
+        report
+            .ends
+            .extend(recent.map(|seen| (seen.target, age_ms(seen.at))));
+        report.ends.truncate(MAX_REPORTED);
         report.crashes.sort_by_key(|crash| crash.age_ms);
         report.answers.truncate(MAX_REPORTED);
         report.crashes.truncate(MAX_REPORTED);
@@ -134,22 +150,32 @@
         report
     }
 
-    /// The first of these fragments that is banned, even if a trial is due.
+    /// The first of these fragments that is suspected or banned, even if a trial is due.
+    pub fn restricted(&self, fragments: &[FragmentKey]) -> Option<FragmentKey> {
+        let is_restricted = |key: &FragmentKey| self.term(*key).is_some();
+        fragments.iter().copied().find(is_restricted)
+    }
+
+    /// The first of these fragments that is banned: trials have proven that it crashes targets.
     pub fn banned(&self, fragments: &[FragmentKey]) -> Option<FragmentKey> {
-        let is_banned = |key: &FragmentKey| {
-            let found = self.find(*key);
-            found.is_ok_and(|at| self.fragments[at].ban.is_some())
-        };
+        let is_banned = |key: &FragmentKey| self.term(*key).is_some_and(Term::is_proven);
         fragments.iter().copied().find(is_banned)
     }
 
+    /// Time until a request with these fragments may be sent as a trial; zero if it may be sent now.
+    pub fn time_to_trial(&self, fragments: &[FragmentKey], now: Duration) -> Duration {
+        let terms = || fragments.iter().filter_map(|key| self.term(*key));
+        let until = terms().map(|term| term.until).max().unwrap_or_default();
+        match terms().count() {
+            // The outcome of a trial must tell which fragment crashed the target.
+            2.. => until.saturating_sub(now).max(FIRST_INTERVAL),
+            0 | 1 => until.saturating_sub(now),
+        }
+    }
+
     /// Whether a request with these fragments may be sent as a trial.
     pub fn is_trial_due(&self, fragments: &[FragmentKey], now: Duration) -> bool {
-        let bans = || {
-            let found = fragments.iter().filter_map(|key| self.find(*key).ok());
-            found.filter_map(|at| self.fragments[at].ban)
-        };
-        bans().count() == 1 && bans().all(|ban| ban.until <= now)
+        self.restricted(fragments).is_some() && self.time_to_trial(fragments, now).is_zero()
     }
 
     /// Begins a trial: no other one is due until its outcome is known or the next one is due.
@@ -163,6 +189,17 @@
         }
     }
 
+    /// Takes back a trial that this instance began and that no target ran.
+    pub fn cancel_trial(&mut self, fragments: &[FragmentKey], now: Duration) {
+        for key in fragments {
+            if let Ok(at) = self.find(*key) {
+                if let Some(ban) = &mut self.fragments[at].ban {
+                    ban.cancel_trial(now);
+                }
+            }
+        }
+    }
+
     /// Targets that ended near a fragment, as far as this instance knows.
     pub fn crash_targets(&self, key: FragmentKey) -> Vec<TargetKey> {
         let found = self.find(key).ok().map(|at| &self.fragments[at]);
@@ -170,23 +207,35 @@
         crashes.iter().map(|seen| seen.target).collect()
     }
 
+    /// All fragments that are suspected or banned, and whether they are banned, sorted.
+    pub fn all_restricted(&self) -> Vec<(FragmentKey, bool)> {
+        let fragments = self.fragments.iter();
+        let restricted = fragments.filter_map(|fragment| {
+            let term = fragment.ban.as_ref()?;
+            Some((fragment.key, term.is_proven()))
+        });
+        restricted.collect()
+    }
+
     /// All fragments that are banned, sorted.
     pub fn all_banned(&self) -> Vec<FragmentKey> {
-        let banned = self
-            .fragments
-            .iter()
-            .filter(|fragment| fragment.ban.is_some());
-        banned.map(|fragment| fragment.key).collect()
+        let restricted = self.all_restricted().into_iter();
+        let banned = restricted.filter(|(_, is_banned)| *is_banned);
+        banned.map(|(key, _)| key).collect()
     }
 
-    /// Bans a fragment that was banned before a restart; false if it is banned already.
-    pub fn restore(&mut self, key: FragmentKey, now: Duration) -> bool {
-        let ban = Term::new(now).report(key, now);
-        self.adopt(&ban, now)
+    /// Suspects or bans a fragment as before a restart.
+    pub fn restore(&mut self, key: FragmentKey, is_banned: bool, now: Duration) {
+        let term = match is_banned {
+            true => Term::proven(now),
+            false => Term::new(now),
+        };
+        self.adopt(&term.report(key, now), now);
     }
 
     /// Removes crashes that are too old to count.
     pub fn expire(&mut self, now: Duration) {
+        self.ends.retain(|seen| now < seen.at + CRASH_LIFETIME);
         for fragment in &mut self.fragments {
             fragment
                 .crashes
@@ -202,6 +251,12 @@
         });
     }
 
+    /// The restriction of a fragment, if any.
+    fn term(&self, key: FragmentKey) -> Option<&Term> {
+        let at = self.find(key).ok()?;
+        self.fragments[at].ban.as_ref()
+    }
+
     fn find(&self, key: FragmentKey) -> Result<usize, usize> {
         self.fragments
             .binary_search_by_key(&key, |fragment| fragment.key)
@@ -238,32 +293,61 @@
         self.fragment(key).add(Observation { at, own, target })
     }
 
-    /// Adopts a ban of another instance; false if it is known already, or if the fragment was answered since.
-    fn adopt(&mut self, ban: &Ban, now: Duration) -> bool {
+    fn add_end(&mut self, target: TargetKey, at: Duration, own: bool) {
+        let end = Observation { at, own, target };
+        let mut ends = self.ends.iter_mut();
+        if let Some(same) = ends.find(|seen| seen.is_same(&end)) {
+            same.own |= own;
+            return;
+        }
+        let position = self.ends.partition_point(|seen| seen.at <= at);
+        self.ends.insert(position, end);
+        let excess = self.ends.len().saturating_sub(MAX_ENDS);
+        self.ends.drain(..excess);
+    }
+
+    /// Judges this instance's trial of a fragment after its target ended. Other targets that ended meanwhile are a sign
+    /// of another cause.
+    fn judge_trial(&mut self, key: FragmentKey, now: Duration) {
+        let Ok(at) = self.find(key) else {
+            return;
+        };
+        let fragment = &mut self.fragments[at];
+        let Some(since) = fragment.ban.as_mut().and_then(Term::end_trial) else {
+            return;
+        };
+        let fragment = &self.fragments[at];
+        let meanwhile = self
+            .ends
+            .iter()
+            .filter(|seen| seen.at + CRASH_INTERVAL >= since);
+        let mut others = meanwhile.filter(|seen| !fragment.saw(seen));
+        if others.any(|seen| !self.is_explained(seen, key)) {
+            return;
+        }
+        if let Some(term) = &mut self.fragments[at].ban {
+            term.count_failure(now);
+        }
+    }
+
+    /// Adopts a restriction of another instance, unless the fragment was answered since.
+    fn adopt(&mut self, ban: &Ban, now: Duration) {
         let received = Term::received(ban, now);
         let fragment = self.fragment(ban.fragment);
         if fragment
             .answered
             .is_some_and(|answered| received.since <= answered)
         {
-            return false;
+            return;
         }
-        let Some(known) = &mut fragment.ban else {
-            fragment.ban = Some(received);
-            return true;
-        };
-        if known.trials < received.trials {
-            *known = Term {
-                since: known.since,
-                ..received
-            };
+        match &mut fragment.ban {
+            Some(known) => known.adopt(received),
+            None => fragment.ban = Some(received),
         }
-        false
     }
 
-    /// Bans fragments that explain crashes best, until no fragment without a ban is near too many unexplained crashes.
-    fn ban_suspects(&mut self, now: Duration) -> Vec<FragmentKey> {
-        let mut banned = Vec::new();
+    /// Suspects the fragments that explain crashes best, until no other fragment is near too many unexplained crashes.
+    fn suspect(&mut self, now: Duration) {
         self.release_cleared();
         loop {
             let suspect = self
@@ -275,16 +359,14 @@
                 .filter(|(.., crashes)| *crashes >= CRASHES)
                 .min_by_key(|(_, answered, crashes)| (*answered, usize::MAX - crashes));
             let Some((at, ..)) = suspect else {
-                break;
+                return;
             };
             self.fragments[at].ban = Some(Term::new(now));
-            banned.push(self.fragments[at].key);
             self.release_explained(at);
         }
-        banned
     }
 
-    /// Number of crashes with a fragment that count and that no banned fragment was near.
+    /// Number of crashes with a fragment that count and that no restricted fragment was near.
     fn unexplained(&self, fragment: &Fragment) -> usize {
         let mut last: Option<Duration> = None;
         let mut count = 0;
@@ -298,26 +380,27 @@
         count
     }
 
-    /// Whether a banned fragment other than `key` was near this crash.
+    /// Whether a restricted fragment other than `key` was near this crash.
     fn is_explained(&self, seen: &Observation, key: FragmentKey) -> bool {
-        let banned = self.fragments.iter();
-        let mut banned = banned.filter(|fragment| fragment.ban.is_some() && fragment.key != key);
-        banned.any(|fragment| fragment.saw(seen))
+        let restricted = self.fragments.iter();
+        let mut restricted =
+            restricted.filter(|fragment| fragment.ban.is_some() && fragment.key != key);
+        restricted.any(|fragment| fragment.saw(seen))
     }
 
-    /// Releases fragments without a trial for which another fragment is a better explanation: it was near all the same
-    /// crashes, and its last answer is older. The answers of other instances may become known after the ban.
+    /// Releases suspected fragments for which another fragment is a better explanation: it was near all the same crashes,
+    /// and its last answer is older. The answers of other instances may become known after the suspicion.
     fn release_cleared(&mut self) {
-        let is_worse = |banned: &Fragment, other: &Fragment| {
-            !banned.crashes.is_empty()
+        let is_worse = |suspected: &Fragment, other: &Fragment| {
+            !suspected.crashes.is_empty()
                 && other.ban.is_none()
-                && other.answered < banned.answered
-                && banned.crashes.iter().all(|seen| other.saw(seen))
+                && other.answered < suspected.answered
+                && suspected.crashes.iter().all(|seen| other.saw(seen))
         };
         let fragments = self.fragments.clone();
         for fragment in &mut self.fragments {
-            let is_untried = fragment.ban.is_some_and(|ban| ban.trials == 0);
-            if is_untried && fragments.iter().any(|other| is_worse(fragment, other)) {
+            let is_suspected = fragment.ban.is_some_and(|term| !term.is_proven());
+            if is_suspected && fragments.iter().any(|other| is_worse(fragment, other)) {
                 fragment.ban = None;
             }
         }
--- a/src/entry/quarantine/report.rs
+++ b/src/entry/quarantine/report.rs
@@ -13,9 +13,11 @@
     pub target: TargetKey,
 }
 
-/// A fragment with which no request is sent.
+/// A fragment with which no request is sent but for trials.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Ban {
+    /// Trials whose target ended while no other did. From two on, it is proven that the fragment crashes targets.
+    pub failures: u32,
     /// The fragment.
     pub fragment: FragmentKey,
     /// Time until the next trial, in milliseconds.
@@ -29,10 +31,12 @@
 pub struct Report {
     /// Time in milliseconds since the sender's last answer on fragments that are known to be near crashes.
     pub answers: Vec<(FragmentKey, u32)>,
-    /// Fragments that the sender bans.
+    /// Fragments that the sender suspects or bans.
     pub bans: Vec<Ban>,
     /// Crashes that the sender saw.
     pub crashes: Vec<Crash>,
+    /// Targets that the sender saw end, with the time since then in milliseconds.
+    pub ends: Vec<(TargetKey, u32)>,
 }
 
 impl Report {
@@ -44,12 +48,14 @@
                 .map(|crash| (crash.fragment, crash.target))
                 .collect()
         };
-        let bans = |report: &Report| -> Vec<(FragmentKey, u32)> {
+        let bans = |report: &Report| -> Vec<(FragmentKey, u32, u32)> {
             let bans = report.bans.iter();
-            bans.map(|ban| (ban.fragment, ban.trials)).collect()
+            bans.map(|ban| (ban.fragment, ban.trials, ban.failures))
+                .collect()
         };
         crashes(self) == crashes(before)
             && bans(self) == bans(before)
             && self.answers.len() == before.answers.len()
+            && self.ends.len() == before.ends.len()
     }
 }
--- a/src/entry/relay.rs
+++ b/src/entry/relay.rs
@@ -187,9 +187,7 @@
                     self.exchange.count_run(key);
                 } else {
                     instance.mark_unreachable(&self.target);
-                    if !self.has_progress {
-                        self.exchange.record_end(&self.target);
-                    }
+                    self.exchange.record_end(&self.target, self.has_progress);
                 }
             }
         }
--- a/src/entry/serve/find.rs
+++ b/src/entry/serve/find.rs
@@ -25,6 +25,20 @@
     u32::try_from(tokens).unwrap_or(u32::MAX)
 }
 
+/// Lets only the engines with the least work admit a trial, since it may crash its engine: those that prefill nothing,
+/// and of these the ones with the fewest requests.
+fn keep_least_loaded(engines: &mut [Engine]) {
+    let work = |engine: &Engine| {
+        let prefill = engine.load.backlog + engine.load.background;
+        (!prefill.is_zero(), engine.load.running)
+    };
+    let admitting = engines.iter().filter(|engine| engine.admits);
+    let least = admitting.map(work).min();
+    for engine in engines {
+        engine.admits &= Some(work(engine)) == least;
+    }
+}
+
 impl Exchange {
     /// Finds a placement, waiting for one if necessary. How long depends on the kind of route.
     pub(super) async fn find_placement(&self) -> Result<(Placement, InFlight), GivenUp> {
@@ -42,7 +56,11 @@
         let since = instance.clock.now();
         let until = since + max_wait;
         loop {
-            match self.choose(until.saturating_sub(instance.clock.now())) {
+            let choice = match self.hold_time() {
+                Some(_) => Choice::Wait,
+                None => self.choose(until.saturating_sub(instance.clock.now())),
+            };
+            match choice {
                 Choice::Place(placement) => {
                     if let Some(in_flight) = self.claim(&placement).await {
                         return Ok((placement, in_flight));
@@ -74,8 +92,11 @@
                 .map(|engine| u64::from(engine.load.running))
                 .sum::<u64>()
         );
-        let (kind, retry) = match instance.pause_left(&self.service) {
-            // Callers that return at the same time would find one target.
+        let wait = self
+            .hold_time()
+            .or_else(|| instance.pause_left(&self.service));
+        let (kind, retry) = match wait {
+            // Callers that return at the same time would find one target, or one trial.
             Some(left) => (Kind::Overloaded, left.mul_f64(1.0 + fastrand::f64() / 2.0)),
             None if !engines.is_empty() => (Kind::Overloaded, RETRY_AFTER),
             None => (Kind::Unavailable, RETRY_AFTER_UNAVAILABLE),
@@ -168,6 +189,9 @@
                 return Choice::Refuse;
             }
         }
+        if self.is_trial() {
+            keep_least_loaded(&mut engines);
+        }
         let now = instance.clock.now();
         let seed = fastrand::u64(..);
         let Some(profile) = &self.service.profile else {
--- a/src/entry/serve/mod.rs
+++ b/src/entry/serve/mod.rs
@@ -180,7 +180,7 @@
         let fragments: Vec<FragmentKey> = fragments
             .map(|id| fragment_key(&service.name, id))
             .collect();
-        if self.is_refused(request, &fragments) {
+        if self.is_banned(request, &fragments) {
             return Err((Kind::FragmentBanned, None));
         }
         let timeout = request.deadline.unwrap_or(route.timeout).min(route.timeout);
@@ -238,6 +238,9 @@
             if matches!(outcome, Outcome::Failed(Failure::Broken)) {
                 self.confirm_end(&target);
             }
+            if !outcome.may_have_run() {
+                self.cancel_trial();
+            }
             match outcome {
                 Outcome::Opened(opened) => return Ok(Ok(opened)),
                 Outcome::Answered(reply) => {
--- a/src/entry/serve/outcome.rs
+++ b/src/entry/serve/outcome.rs
@@ -40,6 +40,17 @@
     Opened(Opened),
 }
 
+impl Outcome {
+    /// Whether the target may have run the request.
+    pub(super) fn may_have_run(&self) -> bool {
+        match self {
+            Outcome::Answered(_) | Outcome::Opened(_) => true,
+            Outcome::Failed(failure) => failure.may_have_run(),
+            Outcome::NoMemory | Outcome::NotRun(_) => false,
+        }
+    }
+}
+
 /// A complete answer of a target.
 pub(in crate::entry) struct Buffered {
     pub(super) body: Bytes,
--- a/src/entry/serve/target_end.rs
+++ b/src/entry/serve/target_end.rs
@@ -1,9 +1,15 @@
 use std::rc::Rc;
+use std::time::Duration;
+
+use smol::Timer;
 
 use super::Exchange;
 use crate::entry::{FragmentKey, Instance, Request, Target};
 use crate::event;
 
+/// Time in which a process that ends closes its sockets; the listener may be the last one.
+const EXIT_TIME: Duration = Duration::from_millis(50);
+
 impl Exchange {
     /// Finds out whether a target ended when it should have begun to write the answer, since the broken connection may
     /// also have been reset alone.
@@ -15,17 +21,28 @@
         let (request, fragments) = (self.request.clone(), self.fragments.clone());
         let target = target.clone();
         let check = async move {
-            if !instance.targets.probe(target.address).await {
+            let mut accepts = instance.targets.probe(target.address).await;
+            if accepts {
+                Timer::after(EXIT_TIME).await;
+                accepts = instance.targets.probe(target.address).await;
+            }
+            if !accepts {
                 instance.record_end(&request, &fragments, &target);
             }
         };
         self.instance.spawn("target_end", check);
     }
 
-    /// Records that a target ended before it wrote on after the first events.
-    pub(in crate::entry) fn record_end(&self, target: &Target) {
-        let (request, fragments) = (&self.request, &self.fragments);
-        self.instance.record_end(request, fragments, target);
+    /// Records that a target ended. Only fragments of a prompt on which it had not written more than the first events
+    /// can be the cause.
+    pub(in crate::entry) fn record_end(&self, target: &Target, has_progress: bool) {
+        let (instance, request) = (&self.instance, &self.request);
+        if has_progress || self.fragments.is_empty() {
+            let now = instance.clock.now();
+            instance.update_quarantine(|quarantine| quarantine.record_end(target.key(), now));
+        } else {
+            instance.record_end(request, &self.fragments, target);
+        }
     }
 }
 
@@ -52,11 +69,7 @@
             fragments = request.shared_fragments.join(",")
         );
         let now = self.clock.now();
-        let banned = self
-            .quarantine
-            .borrow_mut()
-            .record_crash(fragments, target.key(), now);
-        self.log_bans(&banned);
+        self.update_quarantine(|quarantine| quarantine.record_crash(fragments, target.key(), now));
         self.request_heartbeat();
     }
 }
