entry: Answer requests before the grace period of a stop ends

What callers saw (reported by other operators, reproduced here): in a planned stop, requests that were taken and passed on were cut with no answer at the end of the grace, among them some that may run once (LOST).

Cause: a stop waited for connections and then ended the process; nothing gave a final answer to what was still open, and a deadline beyond the grace is enough to be open. Ruled out: requests that are taken until the end (from 2.6 s after SIGTERM on they are refused, late_after_stop_is_refused). Change: 0.6 s before the end of the grace, 0.3 s before the exit, requests without an answer get 503 if nothing was sent for them, 502 otherwise.

--- a/src/entry/instance.rs
+++ b/src/entry/instance.rs
@@ -1,4 +1,5 @@
 use std::cell::{Cell, RefCell};
+use std::convert::Infallible;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -27,6 +28,8 @@
     config: RefCell<Option<Rc<Config>>>,
     pub(super) decoder: Box<dyn Decoder>,
     pub(super) directory: RefCell<Directory>,
+    /// Closed when requests in progress have to end; no value is ever sent.
+    ending: (Sender<Infallible>, Receiver<Infallible>),
     pub(super) executor: Rc<LocalExecutor<'static>>,
     pub(super) folds: RefCell<[Fold; 3]>,
     pub(super) health: RefCell<Health>,
@@ -77,6 +80,7 @@
             config: RefCell::default(),
             decoder,
             directory: RefCell::default(),
+            ending: async_channel::bounded(1),
             executor,
             folds: RefCell::default(),
             health: RefCell::default(),
@@ -129,6 +133,17 @@
         self.stopping.get()
     }
 
+    /// Ends the requests that have no answer yet, because the process is about to exit.
+    pub(super) fn end_requests(&self) {
+        self.ending.0.close();
+    }
+
+    /// Waits until requests in progress have to end.
+    pub(super) async fn wait_for_end(&self) {
+        // No value is ever sent; the channel is closed.
+        let _ = self.ending.1.recv().await;
+    }
+
     /// Whether callers are refused because the process is about to exit.
     pub(super) fn is_refusing(&self) -> bool {
         self.refusing.get()
--- a/src/entry/serve/mod.rs
+++ b/src/entry/serve/mod.rs
@@ -11,6 +11,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use futures_lite::future::or;
 use http::header::{HeaderValue, CONTENT_TYPE};
 use http::{HeaderMap, StatusCode};
 use smol::Timer;
@@ -102,7 +103,16 @@
             }
         };
         let kind = exchange.route.kind.name();
-        let opened = exchange.open(request.last_event_id).await;
+        let ended = async {
+            self.wait_for_end().await;
+            None
+        };
+        let open = async { Some(exchange.open(request.last_event_id).await) };
+        let opened = or(open, ended).await;
+        let opened = match opened {
+            Some(opened) => opened,
+            None => Err(exchange.interrupted()),
+        };
         let elapsed = self.clock.now().saturating_sub(arrival).as_secs_f64();
         self.metrics
             .first_event
@@ -355,6 +365,19 @@
         }
     }
 
+    /// The error for a request that the process has to end before its answer.
+    fn interrupted(&self) -> GivenUp {
+        let kind = match self.sends {
+            0 => Kind::Unavailable,
+            _ => Kind::OutcomeUnknown,
+        };
+        GivenUp {
+            answered: None,
+            kind,
+            retry: (self.sends == 0).then_some(RETRY_AFTER),
+        }
+    }
+
     fn retries_exhausted(&self) -> GivenUp {
         let kind = match (self.ran.is_empty(), self.time_left().is_zero()) {
             (true, true) => Kind::DeadlineRefused,
--- a/src/entry/stop.rs
+++ b/src/entry/stop.rs
@@ -13,12 +13,15 @@
 /// Time before the end of the grace period at which the process exits even if requests are running.
 const EXIT_MARGIN: Duration = Duration::from_millis(300);
 
+/// Time before that at which requests without an answer get their final one.
+const ANSWER_MARGIN: Duration = Duration::from_millis(300);
+
 /// Time between two checks for open connections.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
 impl Instance {
     /// Stops serving within `grace`. The instance is not ready from the start; then callers are refused, `close` closes
-    /// idle connections, and requests in progress finish. `connections` counts the callers' connections.
+    /// idle connections, and requests in progress finish; those that take too long get an error. `connections` counts the callers' connections.
     pub async fn stop(
         &self,
         grace: Duration,
@@ -42,6 +45,9 @@
         close();
         let end = started + grace.saturating_sub(EXIT_MARGIN);
         while connections() > 0 && self.clock.now() < end {
+            if self.clock.now() + ANSWER_MARGIN >= end {
+                self.end_requests();
+            }
             Timer::after(POLL_INTERVAL).await;
         }
         event!(self.source, "stopped", connections = connections());
