entry: Name restrictions of fragments apart from bans, and log why a request was held

Cause: read as a newcomer, the field `ban` held suspicions too, and `no_place` of a request that waited for a trial looked like a lack of engines. Change: the field is `restriction`; `no_place` has `held_ms`.

--- a/src/entry/quarantine/fragment.rs
+++ b/src/entry/quarantine/fragment.rs
@@ -14,7 +14,7 @@
 pub(super) struct Fragment {
     /// Last answer at any instance.
     pub(super) answered: Option<Duration>,
-    pub(super) ban: Option<Term>,
+    pub(super) restriction: Option<Term>,
     /// Time of the last answer that cleared the fragment.
     pub(super) cleared: Option<Duration>,
     /// In order of time.
@@ -50,13 +50,13 @@
         true
     }
 
-    /// Notes an answer: crashes and bans from before it do not count against the fragment.
+    /// Notes an answer: crashes and restrictions from before it do not count against the fragment.
     pub(super) fn clear(&mut self, at: Duration) {
         self.answered = self.answered.max(Some(at));
-        let before = (self.crashes.len(), self.ban.is_some());
+        let before = (self.crashes.len(), self.restriction.is_some());
         self.crashes.retain(|seen| at < seen.at);
-        self.ban = self.ban.filter(|ban| at < ban.since);
-        if before != (self.crashes.len(), self.ban.is_some()) {
+        self.restriction = self.restriction.filter(|term| at < term.since);
+        if before != (self.crashes.len(), self.restriction.is_some()) {
             self.cleared = Some(at);
         }
     }
--- a/src/entry/quarantine/mod.rs
+++ b/src/entry/quarantine/mod.rs
@@ -23,7 +23,7 @@
 /// Time for which an instance reports a crash that it saw; several heartbeats may be lost meanwhile.
 const REPORT_TIME: Duration = Duration::from_secs(10);
 
-/// Maximum number of fragments with crashes or bans.
+/// Maximum number of fragments with crashes or restrictions.
 const MAX_FRAGMENTS: usize = 256;
 
 /// Maximum number of fragments whose last answer is remembered.
@@ -134,7 +134,9 @@
                     .answers
                     .push((fragment.key, age_ms(self.answers[at].1)));
             }
-            let ban = fragment.ban.map(|ban| ban.report(fragment.key, now));
+            let ban = fragment
+                .restriction
+                .map(|term| term.report(fragment.key, now));
             report.bans.extend(ban);
         }
         let ends = self.ends.iter().rev();
@@ -182,8 +184,8 @@
     pub fn begin_trial(&mut self, fragments: &[FragmentKey], now: Duration) {
         for key in fragments {
             if let Ok(at) = self.find(*key) {
-                if let Some(ban) = &mut self.fragments[at].ban {
-                    ban.begin_trial(now);
+                if let Some(term) = &mut self.fragments[at].restriction {
+                    term.begin_trial(now);
                 }
             }
         }
@@ -193,8 +195,8 @@
     pub fn cancel_trial(&mut self, fragments: &[FragmentKey], now: Duration) {
         for key in fragments {
             if let Ok(at) = self.find(*key) {
-                if let Some(ban) = &mut self.fragments[at].ban {
-                    ban.cancel_trial(now);
+                if let Some(term) = &mut self.fragments[at].restriction {
+                    term.cancel_trial(now);
                 }
             }
         }
@@ -211,7 +213,7 @@
     pub fn all_restricted(&self) -> Vec<(FragmentKey, bool)> {
         let fragments = self.fragments.iter();
         let restricted = fragments.filter_map(|fragment| {
-            let term = fragment.ban.as_ref()?;
+            let term = fragment.restriction.as_ref()?;
             Some((fragment.key, term.is_proven()))
         });
         restricted.collect()
@@ -247,14 +249,14 @@
                 .is_some_and(|cleared| now < cleared + REPORT_TIME)
         };
         self.fragments.retain(|fragment| {
-            fragment.ban.is_some() || !fragment.crashes.is_empty() || is_reported(fragment)
+            fragment.restriction.is_some() || !fragment.crashes.is_empty() || is_reported(fragment)
         });
     }
 
     /// The restriction of a fragment, if any.
     fn term(&self, key: FragmentKey) -> Option<&Term> {
         let at = self.find(key).ok()?;
-        self.fragments[at].ban.as_ref()
+        self.fragments[at].restriction.as_ref()
     }
 
     fn find(&self, key: FragmentKey) -> Result<usize, usize> {
@@ -262,12 +264,12 @@
             .binary_search_by_key(&key, |fragment| fragment.key)
     }
 
-    /// The entry of a fragment; the fragment without a ban whose last crash is the oldest makes room for it.
+    /// The entry of a fragment; the fragment without a restriction whose last crash is the oldest makes room for it.
     fn fragment(&mut self, key: FragmentKey) -> &mut Fragment {
         if self.find(key).is_err() && self.fragments.len() >= MAX_FRAGMENTS {
             let last = |fragment: &Fragment| fragment.crashes.last().map(|seen| seen.at);
             let free = self.fragments.iter().enumerate();
-            let free = free.filter(|(_, fragment)| fragment.ban.is_none());
+            let free = free.filter(|(_, fragment)| fragment.restriction.is_none());
             if let Some((at, _)) = free.min_by_key(|(_, fragment)| last(fragment)) {
                 self.fragments.remove(at);
             }
@@ -277,7 +279,7 @@
         let at = self.find(key).unwrap_or_else(|at| {
             let fragment = Fragment {
                 answered,
-                ban: None,
+                restriction: None,
                 cleared: None,
                 crashes: Vec::new(),
                 key,
@@ -313,7 +315,7 @@
             return;
         };
         let fragment = &mut self.fragments[at];
-        let Some(since) = fragment.ban.as_mut().and_then(Term::end_trial) else {
+        let Some(since) = fragment.restriction.as_mut().and_then(Term::end_trial) else {
             return;
         };
         let fragment = &self.fragments[at];
@@ -325,7 +327,7 @@
         if others.any(|seen| !self.is_explained(seen, key)) {
             return;
         }
-        if let Some(term) = &mut self.fragments[at].ban {
+        if let Some(term) = &mut self.fragments[at].restriction {
             term.count_failure(now);
         }
     }
@@ -340,9 +342,9 @@
         {
             return;
         }
-        match &mut fragment.ban {
+        match &mut fragment.restriction {
             Some(known) => known.adopt(received),
-            None => fragment.ban = Some(received),
+            None => fragment.restriction = Some(received),
         }
     }
 
@@ -354,14 +356,14 @@
                 .fragments
                 .iter()
                 .enumerate()
-                .filter(|(_, fragment)| fragment.ban.is_none())
+                .filter(|(_, fragment)| fragment.restriction.is_none())
                 .map(|(at, fragment)| (at, fragment.answered, self.unexplained(fragment)))
                 .filter(|(.., crashes)| *crashes >= CRASHES)
                 .min_by_key(|(_, answered, crashes)| (*answered, usize::MAX - crashes));
             let Some((at, ..)) = suspect else {
                 return;
             };
-            self.fragments[at].ban = Some(Term::new(now));
+            self.fragments[at].restriction = Some(Term::new(now));
             self.release_explained(at);
         }
     }
@@ -384,7 +386,7 @@
     fn is_explained(&self, seen: &Observation, key: FragmentKey) -> bool {
         let restricted = self.fragments.iter();
         let mut restricted =
-            restricted.filter(|fragment| fragment.ban.is_some() && fragment.key != key);
+            restricted.filter(|fragment| fragment.restriction.is_some() && fragment.key != key);
         restricted.any(|fragment| fragment.saw(seen))
     }
 
@@ -393,15 +395,15 @@
     fn release_cleared(&mut self) {
         let is_worse = |suspected: &Fragment, other: &Fragment| {
             !suspected.crashes.is_empty()
-                && other.ban.is_none()
+                && other.restriction.is_none()
                 && other.answered < suspected.answered
                 && suspected.crashes.iter().all(|seen| other.saw(seen))
         };
         let fragments = self.fragments.clone();
         for fragment in &mut self.fragments {
-            let is_suspected = fragment.ban.is_some_and(|term| !term.is_proven());
+            let is_suspected = fragment.restriction.is_some_and(|term| !term.is_proven());
             if is_suspected && fragments.iter().any(|other| is_worse(fragment, other)) {
-                fragment.ban = None;
+                fragment.restriction = None;
             }
         }
     }
@@ -414,7 +416,7 @@
             let is_smaller = fragment.crashes.len() < by.crashes.len();
             if fragment.key != by.key && is_explained && is_smaller && !fragment.crashes.is_empty()
             {
-                fragment.ban = None;
+                fragment.restriction = None;
             }
         }
     }
--- a/src/entry/serve/find.rs
+++ b/src/entry/serve/find.rs
@@ -81,6 +81,7 @@
             route = self.route.name.as_str(),
             version = instance.config().map(|config| config.version),
             waited_ms = (instance.clock.now() - since).as_millis() as u64,
+            held_ms = self.hold_time().map(|left| left.as_millis() as u64),
             targets = engines.len(),
             full = engines.iter().filter(|engine| full(engine)).count(),
             least_backlog_ms = engines
