entry: Log what the placement of a refused request depends on

Change: `no_place` has `prompt`, `prefill_ms`, `left_ms` and the number of `idle` engines; the line is written by a function of its own.

--- a/src/entry/serve/find.rs
+++ b/src/entry/serve/find.rs
@@ -72,18 +72,55 @@
             }
             Timer::after(PLACEMENT_INTERVAL).await;
         }
+        self.log_no_place(since);
+        let wait = self
+            .hold_time()
+            .or_else(|| instance.pause_left(&self.service));
+        let (kind, retry) = match wait {
+            // Callers that return at the same time would find one target, or one trial.
+            Some(left) => (Kind::Overloaded, left.mul_f64(1.0 + fastrand::f64() / 2.0)),
+            None if !instance.engines(&self.service, &[], true).is_empty() => {
+                (Kind::Overloaded, RETRY_AFTER)
+            }
+            None => (Kind::Unavailable, RETRY_AFTER_UNAVAILABLE),
+        };
+        // An earlier send may have run, so the error must not report that the request was not run.
+        let kind = if self.ran.is_empty() {
+            kind
+        } else {
+            Kind::UpstreamFailed
+        };
+        Err(GivenUp {
+            answered: None,
+            kind,
+            retry: self.ran.is_empty().then_some(retry),
+        })
+    }
+
+    /// Logs that a request which waited from `since` found no target, with what the choice depends on.
+    fn log_no_place(&self, since: Duration) {
+        let instance = &self.instance;
+        let now = instance.clock.now();
         let engines = instance.engines(&self.service, &[], true);
         let full = |engine: &Engine| engine.load.running >= engine.target.slots;
+        let idle = |engine: &Engine| (engine.backlog() + engine.background()).is_zero();
+        let prompt = self.request.prompt.unwrap_or_default().tokens;
+        let profile = self.service.profile.as_ref();
         event!(
             instance.source,
             "no_place",
             request = self.request.id.as_str(),
             route = self.route.name.as_str(),
             version = instance.config().map(|config| config.version),
-            waited_ms = (instance.clock.now() - since).as_millis() as u64,
+            waited_ms = (now - since).as_millis() as u64,
             held_ms = self.hold_time().map(|left| left.as_millis() as u64),
+            prompt = prompt,
+            prefill_ms =
+                profile.map(|profile| profile.prefill_time(saturate(prompt)).as_millis() as u64),
+            left_ms = self.time_left_to_start(now).as_millis() as u64,
             targets = engines.len(),
             full = engines.iter().filter(|engine| full(engine)).count(),
+            idle = engines.iter().filter(|engine| idle(engine)).count(),
             least_backlog_ms = engines
                 .iter()
                 .map(|engine| engine.load.backlog.as_millis() as u64)
@@ -93,26 +130,6 @@
                 .map(|engine| u64::from(engine.load.running))
                 .sum::<u64>()
         );
-        let wait = self
-            .hold_time()
-            .or_else(|| instance.pause_left(&self.service));
-        let (kind, retry) = match wait {
-            // Callers that return at the same time would find one target, or one trial.
-            Some(left) => (Kind::Overloaded, left.mul_f64(1.0 + fastrand::f64() / 2.0)),
-            None if !engines.is_empty() => (Kind::Overloaded, RETRY_AFTER),
-            None => (Kind::Unavailable, RETRY_AFTER_UNAVAILABLE),
-        };
-        // An earlier send may have run, so the error must not report that the request was not run.
-        let kind = if self.ran.is_empty() {
-            kind
-        } else {
-            Kind::UpstreamFailed
-        };
-        Err(GivenUp {
-            answered: None,
-            kind,
-            retry: self.ran.is_empty().then_some(retry),
-        })
     }
 
     /// Announces the placement to other instances; none if it has to be withdrawn in favor of another instance's. All
