--- a/src/entry/stop.rs
+++ b/src/entry/stop.rs
@@ -21,7 +21,8 @@
 
 impl Instance {
     /// Stops serving within `grace`. The instance is not ready from the start; then callers are refused, `close` closes
-    /// idle connections, and requests in progress finish; those that take too long get an error. `connections` counts the callers' connections.
+    /// idle connections, and requests in progress finish; those that take too long get an error. `connections` counts the
+    /// callers' connections.
     pub async fn stop(
         &self,
         grace: Duration,
