entry: Log which engines a refused prompt could have used

The log line of a target has its domain, which a refusal during an evacuation depends on.

No decision changes: Placer::new, Engine::has_room and is_free are moved out of their only users.

--- a/src/entry/engine.rs
+++ b/src/entry/engine.rs
@@ -55,6 +55,12 @@
         )
     }
 
+    /// Whether a part that takes `part_time` at the profile's speed can be added.
+    pub fn has_room(&self, profile: &Profile, part_time: Duration) -> bool {
+        self.prefill_room(profile)
+            .is_none_or(|room| room >= part_time)
+    }
+
     /// Whether a slot and memory for `tokens` tokens of context are free.
     pub fn fits(&self, profile: &Profile, tokens: u32) -> bool {
         self.has_slot(profile) && tokens <= self.free_tokens(profile)
--- a/src/entry/instance.rs
+++ b/src/entry/instance.rs
@@ -444,11 +444,13 @@
             Some(_) if !is_gone => "ready",
             Some(_) | None => "gone",
         };
+        let domain = directory.target(&record.key).map(|target| &*target.domain);
         event!(
             self.source,
             "target",
             target = record.key.as_str(),
             offset = record.offset,
+            of = domain,
             state = state
         );
         self.metrics.targets.set(directory.targets().count() as i64);
--- a/src/entry/place/mod.rs
+++ b/src/entry/place/mod.rs
@@ -3,12 +3,15 @@
 mod memory;
 mod single;
 mod split;
+mod survey;
 
 use std::rc::Rc;
 use std::time::Duration;
 
 use super::{Engine, Profile, Target};
 
+pub use survey::{survey, Survey};
+
 /// Maximum number of engines that prefill one prompt: the primary and sixteen helpers.
 const MAX_PARTS: usize = 17;
 
@@ -126,17 +129,7 @@
     if engines.is_empty() {
         return Choice::Wait;
     }
-    let mut order: Vec<&Engine> = engines.iter().collect();
-    order.sort_by_key(|engine| (engine.slowdown >= SLOW_FROM, engine.key));
-    let short_engines = short_engines(&order, profile, requirements.unseen);
-    let placer = Placer {
-        order,
-        prefill_time: profile.prefill_time(requirements.prompt),
-        profile,
-        requirements,
-        seed,
-        short_engines,
-    };
+    let placer = Placer::new(requirements, profile, engines, seed);
     if placer.prefill_time <= SINGLE_LIMIT {
         return placer.place_single();
     }
@@ -154,7 +147,26 @@
     needed.min(order.len().saturating_sub(long_engines).max(1))
 }
 
-impl Placer<'_> {
+impl<'a> Placer<'a> {
+    fn new(
+        requirements: &'a Requirements,
+        profile: &'a Profile,
+        engines: &'a [Engine],
+        seed: u64,
+    ) -> Placer<'a> {
+        let mut order: Vec<&Engine> = engines.iter().collect();
+        order.sort_by_key(|engine| (engine.slowdown >= SLOW_FROM, engine.key));
+        let short_engines = short_engines(&order, profile, requirements.unseen);
+        Placer {
+            order,
+            prefill_time: profile.prefill_time(requirements.prompt),
+            profile,
+            requirements,
+            seed,
+            short_engines,
+        }
+    }
+
     /// Pseudo-random value for tie-breaking, so that instances spread equal choices over the engines.
     fn tie_break(&self, at: usize) -> u64 {
         self.seed
--- a/src/entry/place/split.rs
+++ b/src/entry/place/split.rs
@@ -17,6 +17,11 @@
 /// engines do not idle until instances know that they are free.
 const MAX_BACKLOG: Duration = Duration::from_millis(100);
 
+/// Whether the backlog of an engine, with background prefill, allows a part of a long prompt.
+pub(super) fn is_free(engine: &Engine) -> bool {
+    engine.backlog() + engine.background() <= MAX_BACKLOG
+}
+
 /// Share of the remaining time within which the prefill of a background request has to finish, as predicted without
 /// newer work.
 const BACKGROUND_SHARE: f64 = 0.6;
@@ -88,7 +93,6 @@
     /// large fleet some engine is always busy.
     fn in_background(&self, short: bool) -> Option<Placement> {
         let candidates = self.candidates(short);
-        let is_free = |engine: &Engine| engine.backlog() + engine.background() <= MAX_BACKLOG;
         let free = candidates.iter().filter(|(_, engine)| is_free(engine));
         let free: Vec<(usize, &Engine)> = free.copied().collect();
         if free.len() < candidates.len().min(MIN_FREE) {
@@ -126,14 +130,9 @@
         short: bool,
     ) -> Option<Placement> {
         let part_time = self.prefill_time.checked_div(count as u32)?;
-        let has_room = |engine: &Engine| {
-            engine
-                .prefill_room(self.profile)
-                .is_none_or(|room| room >= part_time)
-        };
         let with_room: Vec<(usize, &Engine)> = candidates
             .iter()
-            .filter(|(_, engine)| has_room(engine))
+            .filter(|(_, engine)| engine.has_room(self.profile, part_time))
             .copied()
             .collect();
         let primary = self.primary(&with_room, short)?;
--- a/src/entry/serve/find.rs
+++ b/src/entry/serve/find.rs
@@ -8,7 +8,8 @@
 };
 use crate::entry::proof::Guards;
 use crate::entry::{
-    peer, pick, place, unseen_requests, Choice, Engine, Placement, Requirements, TargetKey, Work,
+    peer, pick, place, survey, unseen_requests, Choice, Engine, Placement, Requirements, TargetKey,
+    Work,
 };
 use crate::error::Kind;
 use crate::event;
@@ -106,6 +107,11 @@
         let idle = |engine: &Engine| (engine.backlog() + engine.background()).is_zero();
         let prompt = self.request.prompt.unwrap_or_default().tokens;
         let profile = self.service.profile.as_ref();
+        // Without those that are suspected, which get a request only if no other is left.
+        let reachable = instance.engines(&self.service, &[], false);
+        let requirements = self.requirements(&reachable, now);
+        let survey = profile.map(|profile| survey(&requirements, profile, &reachable));
+        let survey = survey.unwrap_or_default();
         event!(
             instance.source,
             "no_place",
@@ -119,6 +125,10 @@
                 profile.map(|profile| profile.prefill_time(saturate(prompt)).as_millis() as u64),
             left_ms = self.time_left_to_start(now).as_millis() as u64,
             targets = engines.len(),
+            reachable = reachable.len(),
+            long = survey.long,
+            long_free = survey.free,
+            long_room = survey.with_room,
             full = engines.iter().filter(|engine| full(engine)).count(),
             idle = engines.iter().filter(|engine| idle(engine)).count(),
             least_backlog_ms = engines
@@ -226,17 +236,21 @@
                 wait: self.route.objective,
             });
         };
+        place(&self.requirements(&engines, now), profile, &engines, seed)
+    }
+
+    /// What the request needs at `now` from one or more of `engines`.
+    fn requirements(&self, engines: &[Engine], now: Duration) -> Requirements {
         let prompt = self.request.prompt.unwrap_or_default();
         let running = engines.iter().map(|engine| engine.load.short);
         let short = running.fold(0, u32::saturating_add);
-        let requirements = Requirements {
+        Requirements {
             deadline: self.time_left_to_start(now),
             gap: self.route.gap,
             objective: (self.arrival + self.route.objective).saturating_sub(now),
             prompt: saturate(prompt.tokens),
             tokens: saturate(prompt.tokens.saturating_add(prompt.max_tokens)),
-            unseen: unseen_requests(short, peer::interval(instance)),
-        };
-        place(&requirements, profile, &engines, seed)
+            unseen: unseen_requests(short, peer::interval(&self.instance)),
+        }
     }
 }
