entry: Renew memory only while the process that uses it answers

Callers saw prompts wait for memory that nobody used: on a large site memory stayed reserved for over 4 s after the request that used it had ended (LEAK).

Cause: the end of a request was inferred from time. A send with reserved memory waited up to 5 s for its first event, more than the 4 s allowed; before that only a bare connection at the predicted first event could end it, which comes too late for a prompt that is read for over 3.5 s, never on the last attempt, and is accepted by any process at the address. A stream was probed once, 0.5 s after its last event.

Ruled out: a shorter time.

Change: before each renewal the process that got the request is asked for its report. If another process answers, or none does twice, the memory is no longer renewed, and the send or stream ends. So memory outlives its request by one lease (3.5 s) at most, whoever holds it, and a send is no longer given up while its target reads. It also ends when a lease could not be renewed in time, since the engine cuts the request off then.

--- a/src/entry/platform.rs
+++ b/src/entry/platform.rs
@@ -93,6 +93,17 @@
     pub notice: Notice,
 }
 
+/// What is known of the process of a target.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Presence {
+    /// Another process has its address, or the target was started again.
+    Replaced,
+    /// It answered.
+    Running,
+    /// Nothing answered in time.
+    Silent,
+}
+
 /// Head and body of a target's answer.
 pub struct Reply {
     /// Body.
@@ -128,6 +139,9 @@
     /// Closes the idle connections to an address, because another connection to it is silent.
     fn discard(&self, address: SocketAddr);
 
+    /// Asks whether the process of a target still runs. It takes no slot there.
+    fn presence<'a>(&'a self, target: &'a Target) -> LocalBoxFuture<'a, Presence>;
+
     /// Whether the address accepts a new connection in time.
     fn probe(&self, address: SocketAddr) -> LocalBoxFuture<'_, bool>;
 
--- a/src/entry/relay.rs
+++ b/src/entry/relay.rs
@@ -6,6 +6,7 @@
 
 use super::config::RouteKind;
 use super::platform::{Body, Failure};
+use super::reservation::{lost, Loss};
 use super::serve::{Exchange, InFlight, Opened, SILENCE_SHARE};
 use super::Events;
 use crate::event;
@@ -110,6 +111,14 @@
             Timer::after(max_silence.min(left).saturating_sub(PROBE_AFTER)).await;
             Read::Silent
         };
+        let loss = self.in_flight.loss();
+        let lost = async {
+            match lost(loss.as_ref()).await {
+                Loss::Expired => Read::Silent,
+                Loss::TargetGone => Read::Unreachable,
+            }
+        };
+        let silence = or(silence, lost);
         let read = or(async { Read::Chunk(self.body.next().await) }, silence).await;
         match read {
             Read::Unreachable => {
--- a/src/entry/reservation.rs
+++ b/src/entry/reservation.rs
@@ -2,6 +2,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use async_channel::{Receiver, Sender};
 use smol::{Task, Timer};
 
 use super::{Instance, Target};
@@ -23,120 +24,228 @@
 /// Maximum delay after which an unanswered call may still be carried out.
 const MAX_CALL_DELAY: Duration = Duration::from_millis(12_500);
 
-/// Memory reserved at an engine for one request; released on drop.
-pub(super) struct Reservation {
+/// Why a request cannot go on with its memory.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Loss {
+    /// A reservation could not be renewed before it ended.
+    Expired,
+    /// The process that got the request is gone or cannot be reached.
+    TargetGone,
+}
+
+impl Loss {
+    /// Name in logs.
+    const fn name(self) -> &'static str {
+        match self {
+            Loss::Expired => "expired",
+            Loss::TargetGone => "target_gone",
+        }
+    }
+}
+
+/// Memory that is reserved at engines for one request; released on drop. It is renewed only after the process that got
+/// the request has answered, so it never outlives the request by more than its lease.
+pub(super) struct Memory {
     instance: Rc<Instance>,
-    /// Time of the last call without an answer.
-    unanswered: Rc<Cell<Option<Duration>>>,
-    /// Renews the reservation until it is dropped.
-    _renewal: Task<()>,
+    /// Gets the reason if the memory is lost.
+    loss: Receiver<Loss>,
+    renewal: Option<Task<()>>,
+    reservations: Vec<Rc<Reservation>>,
+}
+
+/// Memory at one engine.
+struct Reservation {
+    /// Start of the last call that reserved it.
+    confirmed: Cell<Duration>,
     target: Rc<Target>,
     ticket: String,
+    tokens: u32,
+    /// Time of the last call without an answer.
+    unanswered: Cell<Option<Duration>>,
 }
 
-impl Reservation {
-    /// Reserves memory; none if it is not free.
+impl Memory {
+    /// Reserves `shares`, tokens at each engine, for a request that is about to be sent to `user`; none if one of them
+    /// is not free.
     pub(super) async fn acquire(
         instance: &Rc<Instance>,
-        target: &Rc<Target>,
-        tokens: u32,
-    ) -> Option<Reservation> {
-        let ticket = instance.next_ticket();
-        let ordered = instance
-            .targets
-            .reserve(target, &ticket, tokens, LEASE)
-            .await;
-        instance.apply_notice(target, ordered.notice);
-        let reserved = ordered.done;
-        let unanswered = Rc::new(Cell::new((!reserved).then(|| instance.clock.now())));
-        let renewal = renew(
-            instance.clone(),
-            target.clone(),
-            ticket.clone(),
-            tokens,
-            unanswered.clone(),
-        );
-        let reservation = Reservation {
-            _renewal: instance.executor.spawn(renewal),
+        user: &Rc<Target>,
+        shares: impl IntoIterator<Item = (Rc<Target>, u32)>,
+    ) -> Option<Memory> {
+        let (lost, loss) = async_channel::bounded(1);
+        let mut memory = Memory {
             instance: instance.clone(),
-            target: target.clone(),
-            ticket,
-            unanswered,
+            loss,
+            renewal: None,
+            reservations: Vec::new(),
         };
-        event!(
-            instance.source,
-            "reserve",
-            target = target.id.as_str(),
-            ticket = reservation.ticket.as_str(),
-            tokens = tokens,
-            reserved = reserved
+        for (target, tokens) in shares {
+            let reservation = Rc::new(Reservation::new(instance, target, tokens));
+            memory.reservations.push(reservation.clone());
+            let reserved = reservation.call(instance).await;
+            event!(
+                instance.source,
+                "reserve",
+                target = reservation.target.id.as_str(),
+                ticket = reservation.ticket.as_str(),
+                tokens = tokens,
+                reserved = reserved
+            );
+            if !reserved {
+                // An unanswered call may have been carried out: dropping the memory releases it.
+                return None;
+            }
+        }
+        let renewal = renew(
+            instance.clone(),
+            user.clone(),
+            memory.reservations.clone(),
+            lost,
         );
-        // An unanswered call may have been carried out: dropping the reservation releases the memory.
-        reserved.then_some(reservation)
+        memory.renewal = Some(instance.executor.spawn(renewal));
+        Some(memory)
+    }
+
+    /// The ticket of the memory at a target, if any.
+    pub(super) fn ticket(&self, target: &Target) -> Option<&str> {
+        let mut reservations = self.reservations.iter();
+        let found = reservations.find(|reservation| reservation.target.id == target.id);
+        found.map(|reservation| reservation.ticket.as_str())
     }
 
-    /// Id of the reservation at the engine.
-    pub(super) fn ticket(&self) -> &str {
-        &self.ticket
+    /// Gets the reason if the memory is lost.
+    pub(super) fn loss(&self) -> &Receiver<Loss> {
+        &self.loss
     }
 }
 
-impl Drop for Reservation {
+impl Drop for Memory {
     fn drop(&mut self) {
-        let (instance, target) = (self.instance.clone(), self.target.clone());
-        let ticket = std::mem::take(&mut self.ticket);
-        let spawner = instance.clone();
-        let unanswered = self.unanswered.clone();
-        let release = async move {
-            loop {
-                let ordered = instance.targets.release(&target, &ticket).await;
-                instance.apply_notice(&target, ordered.notice);
-                let released = ordered.done;
-                let now = instance.clock.now();
-                if !released {
-                    unanswered.set(Some(now));
-                }
-                // A reservation call that is carried out after the release reserves the memory again.
-                let is_done = unanswered.get().is_none_or(|at| now >= at + MAX_CALL_DELAY);
-                if released && is_done || !instance.is_listed(&target) {
-                    return;
-                }
-                Timer::after(RELEASE_RETRY).await;
-            }
-        };
-        spawner.spawn("release", release);
+        // No renewal may follow the release.
+        drop(self.renewal.take());
+        for reservation in self.reservations.drain(..) {
+            let release = release(self.instance.clone(), reservation);
+            self.instance.spawn("release", release);
+        }
     }
 }
 
-async fn renew(
-    instance: Rc<Instance>,
-    target: Rc<Target>,
-    ticket: String,
-    tokens: u32,
-    unanswered: Rc<Cell<Option<Duration>>>,
-) {
-    let mut pause = RENEW_INTERVAL;
-    loop {
-        Timer::after(pause).await;
-        // The call counts as unanswered until its answer arrives, since this task may be dropped before.
-        let before = unanswered.replace(Some(instance.clock.now()));
+impl Reservation {
+    fn new(instance: &Instance, target: Rc<Target>, tokens: u32) -> Reservation {
+        Reservation {
+            confirmed: Cell::new(instance.clock.now()),
+            target,
+            ticket: instance.next_ticket(),
+            tokens,
+            unanswered: Cell::new(None),
+        }
+    }
+
+    /// Reserves the memory, or extends the reservation; false if that is not confirmed.
+    async fn call(&self, instance: &Instance) -> bool {
+        let now = instance.clock.now();
+        // The call counts as unanswered until its answer arrives, since this future may be dropped before.
+        let before = self.unanswered.replace(Some(now));
         let ordered = instance
             .targets
-            .reserve(&target, &ticket, tokens, LEASE)
+            .reserve(&self.target, &self.ticket, self.tokens, LEASE)
             .await;
-        instance.apply_notice(&target, ordered.notice);
+        instance.apply_notice(&self.target, ordered.notice);
         if ordered.done {
-            unanswered.set(before);
-            pause = RENEW_INTERVAL;
-        } else {
+            self.unanswered.set(before);
+            self.confirmed.set(now);
+        }
+        ordered.done
+    }
+
+    async fn renew(&self, instance: &Instance) {
+        if !self.call(instance).await {
             event!(
                 warn,
                 instance.source,
                 "renewal_unanswered",
-                target = target.id.as_str(),
-                ticket = ticket.as_str()
+                target = self.target.id.as_str(),
+                ticket = self.ticket.as_str()
             );
-            pause = RENEW_RETRY;
         }
     }
 }
+
+/// Renews reservations for the request at `user` until the memory is lost.
+async fn renew(
+    instance: Rc<Instance>,
+    user: Rc<Target>,
+    reservations: Vec<Rc<Reservation>>,
+    lost: Sender<Loss>,
+) {
+    let loss = loop {
+        let confirmed = reservations.iter().map(|known| known.confirmed.get());
+        let due = confirmed.min().unwrap_or_default() + RENEW_INTERVAL;
+        let pause = due.saturating_sub(instance.clock.now());
+        Timer::after(pause.max(RENEW_RETRY)).await;
+        if !instance.is_running(&user).await {
+            break Loss::TargetGone;
+        }
+        let now = instance.clock.now();
+        if reservations
+            .iter()
+            .any(|known| now >= known.confirmed.get() + LEASE)
+        {
+            // The engine has freed the memory and cut the request off.
+            break Loss::Expired;
+        }
+        let is_due =
+            |known: &&Rc<Reservation>| now + RENEW_RETRY >= known.confirmed.get() + RENEW_INTERVAL;
+        let calls: Vec<Task<()>> = reservations
+            .iter()
+            .filter(is_due)
+            .map(|known| {
+                let (caller, known) = (instance.clone(), known.clone());
+                let call = async move { known.renew(&caller).await };
+                instance.executor.spawn(call)
+            })
+            .collect();
+        for call in calls {
+            call.await;
+        }
+    };
+    event!(
+        warn,
+        instance.source,
+        "memory_lost",
+        target = user.id.as_str(),
+        ticket = reservations.first().map(|known| known.ticket.as_str()),
+        reason = loss.name()
+    );
+    // Fails only if nobody waits any more.
+    let _ = lost.try_send(loss);
+}
+
+/// Releases memory until nothing can reserve it again.
+async fn release(instance: Rc<Instance>, reservation: Rc<Reservation>) {
+    let (target, unanswered) = (&reservation.target, &reservation.unanswered);
+    loop {
+        let ordered = instance.targets.release(target, &reservation.ticket).await;
+        instance.apply_notice(target, ordered.notice);
+        let released = ordered.done;
+        let now = instance.clock.now();
+        if !released {
+            unanswered.set(Some(now));
+        }
+        // A reservation call that is carried out after the release reserves the memory again.
+        let is_done = unanswered.get().is_none_or(|at| now >= at + MAX_CALL_DELAY);
+        if released && is_done || !instance.is_listed(target) {
+            return;
+        }
+        Timer::after(RELEASE_RETRY).await;
+    }
+}
+
+/// Waits for the loss of memory that is about to be used; forever if there is none.
+pub(super) async fn lost(loss: Option<&Receiver<Loss>>) -> Loss {
+    match loss {
+        // The sender ends only with the memory, which this future does not outlive, or after it sent a reason.
+        Some(loss) => loss.recv().await.unwrap_or(Loss::Expired),
+        None => std::future::pending().await,
+    }
+}
--- a/src/entry/serve/find.rs
+++ b/src/entry/serve/find.rs
@@ -164,7 +164,7 @@
         let in_flight = InFlight {
             instance: instance.clone(),
             number,
-            reservations: Vec::new(),
+            memory: None,
         };
         if placement.short || placement.part_time.is_zero() {
             return Some(in_flight);
--- a/src/entry/serve/in_flight.rs
+++ b/src/entry/serve/in_flight.rs
@@ -1,6 +1,8 @@
 use std::rc::Rc;
 
-use crate::entry::reservation::Reservation;
+use async_channel::Receiver;
+
+use crate::entry::reservation::{Loss, Memory};
 use crate::entry::Instance;
 
 /// A request in the view; removed from it on drop.
@@ -8,7 +10,7 @@
     pub(super) instance: Rc<Instance>,
     pub(super) number: u64,
     /// Memory at other engines; released when the request ends.
-    pub(super) reservations: Vec<Reservation>,
+    pub(super) memory: Option<Memory>,
 }
 
 impl InFlight {
@@ -16,6 +18,11 @@
     pub(in crate::entry) fn finish_prefill(&self) {
         self.instance.view.borrow_mut().finish_prefill(self.number);
     }
+
+    /// Gets the reason if memory of the request is lost; none if it has no memory at other engines.
+    pub(in crate::entry) fn loss(&self) -> Option<Receiver<Loss>> {
+        self.memory.as_ref().map(|memory| memory.loss().clone())
+    }
 }
 
 impl Drop for InFlight {
--- a/src/entry/serve/send.rs
+++ b/src/entry/serve/send.rs
@@ -9,17 +9,13 @@
 use super::{Exchange, InFlight, RouteKind, SILENCE_SHARE};
 use crate::entry::platform::{Call, Failure, Reply};
 use crate::entry::proof::{Evidence, Guards, Verdict};
-use crate::entry::reservation::Reservation;
+use crate::entry::reservation::{lost, Memory};
 use crate::entry::{Events, Helper, Placement, Target};
 use crate::event;
 
 /// Time past the predicted first event after which a silent target is probed by a new connection: several passes.
 const PROBE_AFTER: Duration = Duration::from_millis(250);
 
-/// Maximum time for which memory stays reserved for a request that does not start. It counts as leaked after nine
-/// seconds, and the last renewal may outlive the request by three and a half.
-const MAX_UNUSED_RESERVATION: Duration = Duration::from_millis(5_000);
-
 /// A repeatable request without a stream is retried after this many objectives without an answer.
 const OBJECTIVES_BEFORE_RETRY: u32 = 3;
 
@@ -46,20 +42,24 @@
         let now = instance.clock.now();
         let target = placement.primary.clone();
         let helpers = &placement.helpers;
-        let mut helper_addresses = Vec::with_capacity(helpers.len());
-        for helper in helpers {
-            let mut ticket = None;
-            if helper.reserved > 0 {
-                let acquired =
-                    Reservation::acquire(instance, &helper.target, helper.reserved).await;
-                let Some(reservation) = acquired else {
-                    return Outcome::NoMemory;
-                };
-                ticket = Some(reservation.ticket().to_owned());
-                in_flight.reservations.push(reservation);
-            }
-            helper_addresses.push((helper.target.address, ticket));
+        let shares = helpers.iter().filter(|helper| helper.reserved > 0);
+        let shares = shares.map(|helper| (helper.target.clone(), helper.reserved));
+        let shares: Vec<_> = shares.collect();
+        if !shares.is_empty() {
+            let acquired = Memory::acquire(instance, &target, shares).await;
+            let Some(memory) = acquired else {
+                return Outcome::NoMemory;
+            };
+            in_flight.memory = Some(memory);
         }
+        let ticket = |helper: &Helper| {
+            let memory = in_flight.memory.as_ref()?;
+            memory.ticket(&helper.target).map(str::to_owned)
+        };
+        let helper_addresses = helpers
+            .iter()
+            .map(|helper| (helper.target.address, ticket(helper)))
+            .collect();
         instance.cold_limiter.borrow_mut().count(target.key(), now);
         event!(
             instance.source,
@@ -75,7 +75,7 @@
             predicted_ms = placement.wait.as_millis() as u64,
             left_ms = self.time_left().as_millis() as u64
         );
-        let has_reservations = !in_flight.reservations.is_empty();
+        let loss = in_flight.loss();
         let call = Call {
             deadline: self.time_left(),
             helpers: helper_addresses,
@@ -92,8 +92,11 @@
             }
         };
         let silence = async {
-            self.wait_for_silence(&target, placement.wait, has_reservations)
-                .await;
+            let silence = self.wait_for_silence(&target, placement.wait);
+            let lost = async {
+                lost(loss.as_ref()).await;
+            };
+            or(silence, lost).await;
             Outcome::Failed(Failure::Silent)
         };
         or(exchange, silence).await
@@ -164,12 +167,8 @@
     }
 
     /// Returns when the target has been silent for too long.
-    async fn wait_for_silence(&self, target: &Target, predicted: Duration, has_reservations: bool) {
-        let limit = if has_reservations {
-            self.time_left().min(MAX_UNUSED_RESERVATION)
-        } else {
-            self.time_left()
-        };
+    async fn wait_for_silence(&self, target: &Target, predicted: Duration) {
+        let limit = self.time_left();
         let may_retry = self.route.kind.is_repeatable()
             && self.ran.len() + 1 < self.route.max_attempts as usize;
         if !may_retry {
--- a/tests/entry_core/mod.rs
+++ b/tests/entry_core/mod.rs
@@ -71,7 +71,15 @@
             ..Route::default()
         };
         let stream = RouteKind::Stream { resumable: true };
-        let routes = vec![route("/", stream), route("/once/", RouteKind::Once)];
+        let routes = vec![
+            route("/", stream),
+            route("/once/", RouteKind::Once),
+            Route {
+                max_attempts: 2,
+                timeout: ms(15_000),
+                ..route("/twice/", stream)
+            },
+        ];
         let service = Service {
             profile: Some(profile()),
             name: "llm".into(),
--- a/tests/entry_memory.rs
+++ b/tests/entry_memory.rs
@@ -8,7 +8,9 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use jujubehook::entry::platform::{Call, Failure, LocalBoxFuture, Notice, Ordered, Reply, Targets};
+use jujubehook::entry::platform::{
+    Call, Failure, LocalBoxFuture, Notice, Ordered, Presence, Reply, Targets,
+};
 use jujubehook::entry::{Answer, Prompt, Request, Target};
 use smol::Timer;
 
@@ -59,6 +61,10 @@
 impl Targets for Engines {
     fn discard(&self, _: SocketAddr) {}
 
+    fn presence<'a>(&'a self, _: &'a Target) -> LocalBoxFuture<'a, Presence> {
+        Box::pin(async { Presence::Running })
+    }
+
     fn probe(&self, _: SocketAddr) -> LocalBoxFuture<'_, bool> {
         Box::pin(async { true })
     }
--- a/tests/entry_panic.rs
+++ b/tests/entry_panic.rs
@@ -7,7 +7,9 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use jujubehook::entry::platform::{Call, Failure, LocalBoxFuture, Ordered, Reply, Targets};
+use jujubehook::entry::platform::{
+    Call, Failure, LocalBoxFuture, Ordered, Presence, Reply, Targets,
+};
 use jujubehook::entry::{Answer, Prompt, Request, Target};
 
 /// Targets whose client fails for the request with this id, and reaches nothing for others.
@@ -18,6 +20,10 @@
 impl Targets for Faulty {
     fn discard(&self, _: SocketAddr) {}
 
+    fn presence<'a>(&'a self, _: &'a Target) -> LocalBoxFuture<'a, Presence> {
+        Box::pin(async { Presence::Running })
+    }
+
     fn probe(&self, _: SocketAddr) -> LocalBoxFuture<'_, bool> {
         Box::pin(async { true })
     }
