relay: Release memory when a stream breaks, not when it is resumed

Cause: Relay kept the broken stream's reservations, slot and row in the view until the next stream had opened, and went on to renew them. The resumed request also counted what it held itself as in use.

Change: the relay gives them up before it looks for another target.

--- a/src/entry/relay.rs
+++ b/src/entry/relay.rs
@@ -23,7 +23,8 @@
     first_events: Option<Bytes>,
     /// Whether the target wrote on after the first events.
     has_progress: bool,
-    in_flight: InFlight,
+    /// None while the stream waits to be resumed.
+    in_flight: Option<InFlight>,
     last_events: Option<Duration>,
     resumable: bool,
     target: std::rc::Rc<super::Target>,
@@ -53,7 +54,7 @@
             exchange,
             first_events: Some(opened.first),
             has_progress: false,
-            in_flight: opened.in_flight,
+            in_flight: Some(opened.in_flight),
             last_events: None,
             resumable,
             target: opened.target,
@@ -111,7 +112,7 @@
             Timer::after(max_silence.min(left).saturating_sub(PROBE_AFTER)).await;
             Read::Silent
         };
-        let loss = self.in_flight.loss();
+        let loss = self.in_flight.as_ref().and_then(InFlight::loss);
         let lost = async {
             match lost(loss.as_ref()).await {
                 Loss::Expired => Read::Silent,
@@ -164,6 +165,8 @@
     /// Continues at another target after the last delivered event.
     async fn resume(&mut self, failure: Failure) -> Option<Bytes> {
         let instance = self.exchange.instance.clone();
+        // The request has ended at this target: its slot and its memory are free for others, and for its continuation.
+        self.in_flight = None;
         event!(
             instance.source,
             "stream_broken",
@@ -210,10 +213,10 @@
         };
         self.body = opened.body;
         self.events = opened.events;
-        self.in_flight = opened.in_flight;
+        opened.in_flight.finish_prefill();
+        self.in_flight = Some(opened.in_flight);
         self.target = opened.target;
         self.has_progress = false;
-        self.in_flight.finish_prefill();
         self.last_events = None;
         Some(opened.first)
     }
--- a/tests/entry_release.rs
+++ b/tests/entry_release.rs
@@ -16,9 +16,9 @@
 use futures_lite::future::or;
 use http::{HeaderMap, StatusCode};
 use jujubehook::entry::platform::{
-    Body, Call, Failure, LocalBoxFuture, Notice, Ordered, Presence, Reply, Targets,
+    Body, Call, Failure, LocalBoxFuture, Notice, Ordered, Presence, Reply, Targets, Topic,
 };
-use jujubehook::entry::{Answer, Content, Instance, Prompt, Relay, Request, Target};
+use jujubehook::entry::{Answer, Content, Instance, Prompt, Record, Relay, Request, Target};
 use smol::Timer;
 
 const ENGINES: u64 = 20;
@@ -57,6 +57,8 @@
 enum Step {
     /// Writes an event.
     Event(u64),
+    /// Breaks the connection.
+    Break,
     /// Ends without a word: the connection stays open.
     Vanish,
     /// Does nothing for a time.
@@ -114,6 +116,10 @@
                 Some(Step::Wait(time)) => {
                     Timer::after(time).await;
                 }
+                Some(Step::Break) => {
+                    self.end();
+                    return Some(Err(Failure::Broken));
+                }
                 Some(Step::Vanish) => {
                     self.end();
                     self.vanished.set(true);
@@ -290,6 +296,22 @@
     relay
 }
 
+/// Removes all other engines but three from the directory: enough to wait for, too few to begin at once.
+fn keep_few(instance: &Instance, user: &str) {
+    let ids = (0..ENGINES).map(|number| format!("i-{number}"));
+    let others: Vec<String> = ids.filter(|id| id != user).skip(3).collect();
+    let records = (ENGINES..).zip(others);
+    let records: Vec<Record> = records
+        .map(|(offset, key)| Record {
+            key,
+            offset,
+            value: None,
+        })
+        .collect();
+    let end = ENGINES + records.len() as u64;
+    instance.apply(Topic::Targets, records, end, false);
+}
+
 /// An engine falls silent for good while it reads the largest prompts, long before their predicted first event.
 #[test]
 fn silent_engine() {
@@ -324,6 +346,20 @@
     play(&Rc::new(Engines::new(script)), "/twice/", WIDE, caller);
 }
 
+/// A stream breaks and waits for memory at other engines to be resumed.
+#[test]
+fn broken_stream() {
+    let script = [Step::Event(1), Step::Wait(ms(100)), Step::Break];
+    let engines = Rc::new(Engines::new(script));
+    let caller = async |instance: Rc<Instance>, answer| {
+        let mut relay = opened(answer).await;
+        keep_few(&instance, &engines.user.borrow());
+        relay.next().await;
+    };
+    play(&engines, "/twice/", WIDE, caller);
+    assert_eq!(engines.sends.get(), 1);
+}
+
 /// An engine that reads a prompt for longer than memory lasts without a renewal still answers it.
 #[test]
 fn long_prefill() {
