reservation: Release memory at engines that are no longer listed

Cause: the release of memory was repeated only while its engine was listed. An engine that drains, or whose record lapsed, still runs, and may carry out a late reservation call after that.

Change: releases are repeated until one is confirmed and no call can be carried out any more, and for one such delay and lease at most.

Result: unlisted_engines in entry_memory failed before (6 reservations kept) and passes.

--- a/src/entry/instance.rs
+++ b/src/entry/instance.rs
@@ -314,11 +314,6 @@
         }
     }
 
-    /// Whether the target is still in the directory.
-    pub(super) fn is_listed(&self, target: &Target) -> bool {
-        self.directory.borrow().target(&target.id).is_some()
-    }
-
     /// A new ticket for reserved memory, unique over all instances.
     pub(super) fn next_ticket(&self) -> String {
         let number = self.tickets.get() + 1;
--- a/src/entry/reservation.rs
+++ b/src/entry/reservation.rs
@@ -221,10 +221,11 @@
     let _ = lost.try_send(loss);
 }
 
-/// Releases memory until nothing can reserve it again.
+/// Releases memory until nothing can reserve it again. A target that is no longer listed may still run.
 async fn release(instance: Rc<Instance>, reservation: Rc<Reservation>) {
     let (target, unanswered) = (&reservation.target, &reservation.unanswered);
-    loop {
+    let expires = instance.clock.now() + MAX_CALL_DELAY + LEASE;
+    while instance.clock.now() < expires {
         let ordered = instance.targets.release(target, &reservation.ticket).await;
         instance.apply_notice(target, ordered.notice);
         let released = ordered.done;
@@ -234,7 +235,7 @@
         }
         // A reservation call that is carried out after the release reserves the memory again.
         let is_done = unanswered.get().is_none_or(|at| now >= at + MAX_CALL_DELAY);
-        if released && is_done || !instance.is_listed(target) {
+        if released && is_done {
             return;
         }
         Timer::after(RELEASE_RETRY).await;
--- a/tests/entry_memory.rs
+++ b/tests/entry_memory.rs
@@ -9,9 +9,9 @@
 use std::time::{Duration, Instant};
 
 use jujubehook::entry::platform::{
-    Call, Failure, LocalBoxFuture, Notice, Ordered, Presence, Reply, Targets,
+    Call, Failure, LocalBoxFuture, Notice, Ordered, Presence, Reply, Targets, Topic,
 };
-use jujubehook::entry::{Answer, Prompt, Request, Target};
+use jujubehook::entry::{Answer, Instance, Prompt, Record, Request, Target};
 use smol::Timer;
 
 const ENGINES: u64 = 20;
@@ -22,15 +22,6 @@
 /// Maximum time for which memory may stay reserved without a request, as agreed with the engines.
 const MAX_LEAK: Duration = Duration::from_secs(4);
 
-/// Confirmation of a call.
-const DONE: Ordered = Ordered {
-    done: true,
-    notice: Notice {
-        leaving: false,
-        pause: None,
-    },
-};
-
 /// Memory that is reserved from a time on.
 #[derive(Debug)]
 struct Reservation {
@@ -44,6 +35,8 @@
 struct Engines {
     reservations: RefCell<Vec<Reservation>>,
     calls: RefCell<usize>,
+    /// Whether they state that they are about to exit.
+    leaving: bool,
 }
 
 impl Engines {
@@ -76,7 +69,14 @@
         self.reservations
             .borrow_mut()
             .retain(|reservation| !frees(reservation));
-        Box::pin(async { DONE })
+        let ordered = Ordered {
+            done: true,
+            notice: Notice {
+                leaving: self.leaving,
+                pause: None,
+            },
+        };
+        Box::pin(async move { ordered })
     }
 
     fn reserve<'a>(
@@ -100,11 +100,10 @@
     }
 }
 
-/// Reservation calls are lost and carried out late, after the request has ended and its releases were answered. The
-/// memory is released again. Found by the fault scenario `trouble-2` of the second site, seed 11.
-#[test]
-fn late_reservations_are_released() {
-    let engines = Rc::new(Engines::default());
+/// Plays a request whose reservation calls are lost and carried out late, after the request has ended. `ended` is called
+/// at its end; then the memory has to be released again.
+fn check(engines: Engines, ended: impl FnOnce(&Instance)) {
+    let engines = Rc::new(engines);
     let ids = (0..ENGINES).map(|number| format!("i-{number}"));
     let (instance, executor) = entry_core::start(ids, engines.clone());
     smol::block_on(executor.run(async {
@@ -121,9 +120,36 @@
         assert!(matches!(answer, Answer::Refusal { .. }));
         let calls = *engines.calls.borrow();
         assert!(calls > 0, "no memory was requested");
+        // Each memory is released at once too.
+        smol::future::yield_now().await;
+        ended(&instance);
         Timer::after(CALL_DELAY).await;
         assert!(engines.reservations() > 0, "no call was carried out");
         Timer::after(MAX_LEAK).await;
         assert_eq!(engines.reservations(), 0, "after {calls} calls");
     }));
 }
+
+/// Reservation calls are lost and carried out late, after the request has ended and its releases were answered. The
+/// memory is released again. Found by the fault scenario `trouble-2` of the second site, seed 11.
+#[test]
+fn late_reservations_are_released() {
+    check(Engines::default(), |_| {});
+}
+
+/// The same at engines that leave and are no longer listed, but still run.
+#[test]
+fn unlisted_engines() {
+    let engines = Engines {
+        leaving: true,
+        ..Engines::default()
+    };
+    check(engines, |instance| {
+        let records = (0..ENGINES).map(|number| Record {
+            key: format!("i-{number}"),
+            offset: ENGINES + number,
+            value: None,
+        });
+        instance.apply(Topic::Targets, records.collect(), 2 * ENGINES, false);
+    });
+}
