reservation: Give up memory that a request does not begin to use

Cause: a send with reserved memory is no longer given up after 5 s, so a request that its engine queues could keep memory unused for over 9 s, which counts as stuck (STUCK).

Change: from 6.6 s on the engines that hold memory are asked whether the request uses it; if not, the send ends. A send whose memory is used goes on, however long its prompt is read.

--- a/src/entry/relay.rs
+++ b/src/entry/relay.rs
@@ -115,7 +115,7 @@
         let loss = self.in_flight.as_ref().and_then(InFlight::loss);
         let lost = async {
             match lost(loss.as_ref()).await {
-                Loss::Expired => Read::Silent,
+                Loss::Expired | Loss::Unused => Read::Silent,
                 Loss::TargetGone => Read::Unreachable,
             }
         };
--- a/src/entry/reservation.rs
+++ b/src/entry/reservation.rs
@@ -18,6 +18,9 @@
 /// Pause before an unanswered renewal is repeated; three repeats fit in before the reservation ends.
 const RENEW_RETRY: Duration = Duration::from_millis(400);
 
+/// Time after which memory that no request has used counts as stuck.
+const MAX_UNUSED: Duration = Duration::from_secs(9);
+
 /// Time between two releases while earlier calls are unanswered.
 const RELEASE_RETRY: Duration = Duration::from_millis(1_500);
 
@@ -31,6 +34,8 @@
     Expired,
     /// The process that got the request is gone or cannot be reached.
     TargetGone,
+    /// The request has not begun to use it in time.
+    Unused,
 }
 
 impl Loss {
@@ -39,6 +44,7 @@
         match self {
             Loss::Expired => "expired",
             Loss::TargetGone => "target_gone",
+            Loss::Unused => "unused",
         }
     }
 }
@@ -51,6 +57,8 @@
     loss: Receiver<Loss>,
     renewal: Option<Task<()>>,
     reservations: Vec<Rc<Reservation>>,
+    /// Whether the request is known to use the memory.
+    used: Rc<Cell<bool>>,
 }
 
 /// Memory at one engine.
@@ -78,6 +86,7 @@
             loss,
             renewal: None,
             reservations: Vec::new(),
+            used: Rc::default(),
         };
         for (target, tokens) in shares {
             let reservation = Rc::new(Reservation::new(instance, target, tokens));
@@ -100,6 +109,7 @@
             instance.clone(),
             user.clone(),
             memory.reservations.clone(),
+            memory.used.clone(),
             lost,
         );
         memory.renewal = Some(instance.executor.spawn(renewal));
@@ -113,6 +123,11 @@
         found.map(|reservation| reservation.ticket.as_str())
     }
 
+    /// Records that the request uses the memory.
+    pub(super) fn mark_used(&self) {
+        self.used.set(true);
+    }
+
     /// Gets the reason if the memory is lost.
     pub(super) fn loss(&self) -> &Receiver<Loss> {
         &self.loss
@@ -176,8 +191,11 @@
     instance: Rc<Instance>,
     user: Rc<Target>,
     reservations: Vec<Rc<Reservation>>,
+    used: Rc<Cell<bool>>,
     lost: Sender<Loss>,
 ) {
+    let acquired = reservations.iter().map(|known| known.confirmed.get());
+    let check_use = acquired.min().unwrap_or_default() + MAX_UNUSED - RENEW_INTERVAL - RENEW_RETRY;
     let loss = loop {
         let confirmed = reservations.iter().map(|known| known.confirmed.get());
         let due = confirmed.min().unwrap_or_default() + RENEW_INTERVAL;
@@ -194,6 +212,12 @@
             // The engine has freed the memory and cut the request off.
             break Loss::Expired;
         }
+        if now >= check_use && !used.get() {
+            used.set(are_used(&instance, &reservations).await);
+            if !used.get() {
+                break Loss::Unused;
+            }
+        }
         let is_due =
             |known: &&Rc<Reservation>| now + RENEW_RETRY >= known.confirmed.get() + RENEW_INTERVAL;
         let calls: Vec<Task<()>> = reservations
@@ -221,6 +245,16 @@
     let _ = lost.try_send(loss);
 }
 
+async fn are_used(instance: &Instance, reservations: &[Rc<Reservation>]) -> bool {
+    for known in reservations {
+        let targets = &instance.targets;
+        if !targets.uses_memory(&known.target, &known.ticket).await {
+            return false;
+        }
+    }
+    true
+}
+
 /// Releases memory until nothing can reserve it again. A target that is no longer listed may still run.
 async fn release(instance: Rc<Instance>, reservation: Rc<Reservation>) {
     let (target, unanswered) = (&reservation.target, &reservation.unanswered);
--- a/src/entry/serve/in_flight.rs
+++ b/src/entry/serve/in_flight.rs
@@ -16,6 +16,9 @@
 impl InFlight {
     /// Records that the prefill is finished.
     pub(in crate::entry) fn finish_prefill(&self) {
+        if let Some(memory) = &self.memory {
+            memory.mark_used();
+        }
         self.instance.view.borrow_mut().finish_prefill(self.number);
     }
 
--- a/tests/entry_memory.rs
+++ b/tests/entry_memory.rs
@@ -95,6 +95,10 @@
         Box::pin(async { Ordered::default() })
     }
 
+    fn uses_memory<'a>(&'a self, _: &'a Target, _: &'a str) -> LocalBoxFuture<'a, bool> {
+        Box::pin(async { true })
+    }
+
     fn send(&self, _: Call) -> LocalBoxFuture<'_, Result<Reply, Failure>> {
         Box::pin(async { Err(Failure::Unreachable) })
     }
--- a/tests/entry_panic.rs
+++ b/tests/entry_panic.rs
@@ -42,6 +42,10 @@
         Box::pin(async { Ordered::default() })
     }
 
+    fn uses_memory<'a>(&'a self, _: &'a Target, _: &'a str) -> LocalBoxFuture<'a, bool> {
+        Box::pin(async { true })
+    }
+
     fn send(&self, call: Call) -> LocalBoxFuture<'_, Result<Reply, Failure>> {
         assert_ne!(call.request.id, FAULTY);
         Box::pin(async { Err(Failure::Unreachable) })
