reservation: Ask three times before a silent process counts as gone

Cause: two questions without an answer, one right after the other, ended a request. A full engine resets new connections, so both may fail within milliseconds while it reads the prompt.

Change: three questions, 0.4 s apart, without a renewal between them; the lease still ends 3.5 s after the last proof.

Result: full_engine in entry_release failed with two questions and passes with three.

--- a/src/entry/probe.rs
+++ b/src/entry/probe.rs
@@ -11,26 +11,20 @@
 /// them.
 const PROBE_INTERVAL: Duration = Duration::from_millis(300);
 
-/// Number of questions without an answer after which a process counts as gone, since one may be lost.
-const MAX_SILENT_QUESTIONS: usize = 2;
-
 impl Instance {
-    /// Whether the process of a target runs and can be reached; if not, the target is ejected.
-    pub(super) async fn is_running(&self, target: &Target) -> bool {
-        for _ in 0..MAX_SILENT_QUESTIONS {
-            match self.targets.presence(target).await {
-                Presence::Running => return true,
-                Presence::Replaced => {
-                    let now = self.clock.now();
-                    self.health.borrow_mut().eject(target.key(), now);
-                    return false;
-                }
-                // The connection on which it was asked may be dead.
-                Presence::Silent => self.targets.discard(target.address),
+    /// Asks whether the process of a target runs; if another one has its address, the target is ejected.
+    pub(super) async fn presence(&self, target: &Target) -> Presence {
+        let presence = self.targets.presence(target).await;
+        match presence {
+            Presence::Running => {}
+            Presence::Replaced => {
+                let now = self.clock.now();
+                self.health.borrow_mut().eject(target.key(), now);
             }
+            // The connection on which it was asked may be dead.
+            Presence::Silent => self.targets.discard(target.address),
         }
-        self.mark_unreachable(target);
-        false
+        presence
     }
 }
 
--- a/src/entry/relay.rs
+++ b/src/entry/relay.rs
@@ -135,11 +135,9 @@
             Read::Chunk(None) => Step::Broken(Failure::Broken),
             Read::Chunk(Some(Ok(bytes))) => match self.events.push(&bytes) {
                 Ok(events) => {
-                    if !events.is_empty() && !self.has_progress {
-                        self.has_progress = true;
-                        self.exchange.record_answer();
+                    if !events.is_empty() {
+                        self.record_events();
                     }
-                    self.measure(&events);
                     Step::Bytes(events)
                 }
                 Err(failure) => Step::Broken(failure),
@@ -147,10 +145,22 @@
         }
     }
 
-    /// Measures the engine's slowdown by the gap before these events.
-    fn measure(&mut self, events: &Bytes) {
+    /// Records that the target sent events after the first ones.
+    fn record_events(&mut self) {
+        if !self.has_progress {
+            self.has_progress = true;
+            self.exchange.record_answer();
+        }
+        if let Some(in_flight) = &self.in_flight {
+            in_flight.record_event();
+        }
+        self.measure();
+    }
+
+    /// Measures the engine's slowdown by the gap before the newest events.
+    fn measure(&mut self) {
         let (instance, service) = (&self.exchange.instance, &self.exchange.service);
-        let Some(profile) = service.profile.as_ref().filter(|_| !events.is_empty()) else {
+        let Some(profile) = service.profile.as_ref() else {
             return;
         };
         let now = instance.clock.now();
--- a/src/entry/reservation.rs
+++ b/src/entry/reservation.rs
@@ -5,6 +5,7 @@
 use async_channel::{Receiver, Sender};
 use smol::{Task, Timer};
 
+use super::platform::Presence;
 use super::{Instance, Target};
 use crate::event;
 
@@ -21,6 +22,14 @@
 /// Time after which memory that no request has used counts as stuck.
 const MAX_UNUSED: Duration = Duration::from_secs(9);
 
+/// Number of questions without an answer after which the process that got a request counts as gone. A full one resets
+/// new connections for a while.
+const MAX_SILENT_QUESTIONS: u32 = 3;
+
+/// Age up to which an event proves that its request runs, so that the process is not asked. Memory outlives its request by
+/// this time and one lease.
+const MAX_EVENT_AGE: Duration = Duration::from_millis(400);
+
 /// Time between two releases while earlier calls are unanswered.
 const RELEASE_RETRY: Duration = Duration::from_millis(1_500);
 
@@ -57,8 +66,8 @@
     loss: Receiver<Loss>,
     renewal: Option<Task<()>>,
     reservations: Vec<Rc<Reservation>>,
-    /// Whether the request is known to use the memory.
-    used: Rc<Cell<bool>>,
+    /// Time of the last event of the request, if any.
+    last_event: Rc<Cell<Option<Duration>>>,
 }
 
 /// Memory at one engine.
@@ -86,7 +95,7 @@
             loss,
             renewal: None,
             reservations: Vec::new(),
-            used: Rc::default(),
+            last_event: Rc::default(),
         };
         for (target, tokens) in shares {
             let reservation = Rc::new(Reservation::new(instance, target, tokens));
@@ -109,7 +118,7 @@
             instance.clone(),
             user.clone(),
             memory.reservations.clone(),
-            memory.used.clone(),
+            memory.last_event.clone(),
             lost,
         );
         memory.renewal = Some(instance.executor.spawn(renewal));
@@ -123,9 +132,9 @@
         found.map(|reservation| reservation.ticket.as_str())
     }
 
-    /// Records that the request uses the memory.
-    pub(super) fn mark_used(&self) {
-        self.used.set(true);
+    /// Records an event of the request, which proves that it runs and uses the memory.
+    pub(super) fn record_event(&self) {
+        self.last_event.set(Some(self.instance.clock.now()));
     }
 
     /// Gets the reason if the memory is lost.
@@ -191,19 +200,35 @@
     instance: Rc<Instance>,
     user: Rc<Target>,
     reservations: Vec<Rc<Reservation>>,
-    used: Rc<Cell<bool>>,
+    last_event: Rc<Cell<Option<Duration>>>,
     lost: Sender<Loss>,
 ) {
     let acquired = reservations.iter().map(|known| known.confirmed.get());
     let check_use = acquired.min().unwrap_or_default() + MAX_UNUSED - RENEW_INTERVAL - RENEW_RETRY;
+    let mut is_used = false;
+    let mut silent_questions = 0;
     let loss = loop {
         let confirmed = reservations.iter().map(|known| known.confirmed.get());
         let due = confirmed.min().unwrap_or_default() + RENEW_INTERVAL;
         let pause = due.saturating_sub(instance.clock.now());
         Timer::after(pause.max(RENEW_RETRY)).await;
-        if !instance.is_running(&user).await {
-            break Loss::TargetGone;
+        let now = instance.clock.now();
+        let has_event = last_event.get().is_some_and(|at| now < at + MAX_EVENT_AGE);
+        if !has_event {
+            match instance.presence(&user).await {
+                Presence::Running => {}
+                Presence::Replaced => break Loss::TargetGone,
+                Presence::Silent => {
+                    silent_questions += 1;
+                    if silent_questions < MAX_SILENT_QUESTIONS {
+                        continue;
+                    }
+                    instance.mark_unreachable(&user);
+                    break Loss::TargetGone;
+                }
+            }
         }
+        silent_questions = 0;
         let now = instance.clock.now();
         if reservations
             .iter()
@@ -212,9 +237,10 @@
             // The engine has freed the memory and cut the request off.
             break Loss::Expired;
         }
-        if now >= check_use && !used.get() {
-            used.set(are_used(&instance, &reservations).await);
-            if !used.get() {
+        is_used |= last_event.get().is_some();
+        if now >= check_use && !is_used {
+            is_used = are_used(&instance, &reservations).await;
+            if !is_used {
                 break Loss::Unused;
             }
         }
--- a/src/entry/serve/in_flight.rs
+++ b/src/entry/serve/in_flight.rs
@@ -16,10 +16,14 @@
 impl InFlight {
     /// Records that the prefill is finished.
     pub(in crate::entry) fn finish_prefill(&self) {
+        self.instance.view.borrow_mut().finish_prefill(self.number);
+    }
+
+    /// Records that the target sent an event.
+    pub(in crate::entry) fn record_event(&self) {
         if let Some(memory) = &self.memory {
-            memory.mark_used();
+            memory.record_event();
         }
-        self.instance.view.borrow_mut().finish_prefill(self.number);
     }
 
     /// Gets the reason if memory of the request is lost; none if it has no memory at other engines.
--- a/src/entry/serve/send.rs
+++ b/src/entry/serve/send.rs
@@ -154,6 +154,7 @@
                 None => return Outcome::Failed(Failure::Broken),
             };
         }
+        in_flight.record_event();
         in_flight.finish_prefill();
         Outcome::Opened(Opened {
             body: reply.body,
--- a/tests/entry_release.rs
+++ b/tests/entry_release.rs
@@ -76,6 +76,8 @@
     ended: Cell<Option<Instant>>,
     /// Whether the first request waits at its engine and does not use its memory.
     is_queued: bool,
+    /// Number of questions for the presence of an engine that get no answer, from the first on.
+    lost_questions: Cell<u32>,
     /// Whether no renewal is carried out.
     loses_renewals: bool,
     reservations: RefCell<Vec<Reservation>>,
@@ -92,6 +94,7 @@
             address_is_reused: false,
             ended: Cell::new(None),
             is_queued: false,
+            lost_questions: Cell::new(0),
             loses_renewals: false,
             reservations: RefCell::default(),
             script: RefCell::new(script.into_iter().collect()),
@@ -182,7 +185,10 @@
     fn discard(&self, _: SocketAddr) {}
 
     fn presence<'a>(&'a self, target: &'a Target) -> LocalBoxFuture<'a, Presence> {
+        let lost = self.0.lost_questions.get();
+        self.0.lost_questions.set(lost.saturating_sub(1));
         let presence = match (self.0.has_vanished(target), self.0.address_is_reused) {
+            _ if lost > 0 => Presence::Silent,
             (false, _) => Presence::Running,
             (true, false) => Presence::Silent,
             (true, true) => Presence::Replaced,
@@ -394,6 +400,20 @@
     assert_eq!(engines.sends.get(), 1);
 }
 
+/// A full engine resets new connections for a while: the request that it reads goes on.
+#[test]
+fn full_engine() {
+    let engines = Rc::new(Engines {
+        lost_questions: Cell::new(2),
+        ..Engines::new([Step::Wait(ms(5_000)), Step::Event(1)])
+    });
+    let caller = async |_: Rc<Instance>, answer| {
+        opened(answer).await;
+    };
+    check(&engines, "/twice/", LARGEST, caller);
+    assert_eq!(engines.sends.get(), 1);
+}
+
 /// No renewal is carried out: an engine cuts a request off when its memory expires, so the request goes elsewhere.
 #[test]
 fn lost_renewals() {
