tests: Let decode steps of the simulation wait for chunks of prefill

Cause: the simulation of entry_wide let an engine write at a tenth of its speed beside any prefill, and gave up sends after 5 s, which the instances no longer do. So engines that write stayed closed to the parts of the largest prompts for too short a time.

Change: a decode step waits for a chunk of the prompt that is prefilled; no send is given up.

--- a/tests/entry_sim/engine.rs
+++ b/tests/entry_sim/engine.rs
@@ -1,44 +1,60 @@
 use std::time::Duration;
 
+use jujubehook::entry::Profile;
+
+/// Tokens of prompts that an engine prefills in one decode step at most.
+const CHUNK: f64 = 2_048.0;
+
 /// Instance and number of a request.
 type Request = (usize, u64);
 
+/// A part of a prompt.
+#[derive(Clone, Debug)]
+struct Part {
+    /// Prefill time of the chunk that one decode step takes.
+    chunk: Duration,
+    left: Duration,
+    request: Request,
+}
+
 /// The parts of prompts at one engine, which processes the newest first.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Processor {
-    parts: Vec<(Request, Duration)>,
+    parts: Vec<Part>,
 }
 
 impl Processor {
-    pub(super) fn add(&mut self, request: Request, time: Duration) {
-        self.parts.push((request, time));
-    }
-
-    pub(super) fn remove(&mut self, request: Request) {
-        self.parts.retain(|(known, _)| *known != request);
+    /// Adds a part that takes `time` of a prompt of `prompt` tokens. All tokens of the prompt count as equally long.
+    pub(super) fn add(&mut self, request: Request, time: Duration, prompt: u32, profile: &Profile) {
+        let prefill_time = profile.prefill_time(prompt);
+        let chunk = prefill_time.mul_f64((CHUNK / f64::from(prompt.max(1))).min(1.0));
+        self.parts.push(Part {
+            chunk,
+            left: time,
+            request,
+        });
     }
 
-    /// What is decoded in `time`, as the time that it takes beside no prefill: a decode step that also prefills a chunk
-    /// takes about ten times as long.
-    pub(super) fn decoded(&self, time: Duration) -> Duration {
-        match self.parts.is_empty() {
-            true => time,
-            false => time / 10,
+    /// What is decoded in `time`, as the time that it takes beside no prefill: each decode step waits for a chunk.
+    pub(super) fn decoded(&self, time: Duration, profile: &Profile) -> Duration {
+        match self.parts.last() {
+            None => time,
+            Some(part) => time.mul_f64(profile.step.div_duration_f64(profile.step + part.chunk)),
         }
     }
 
     pub(super) fn has(&self, request: Request) -> bool {
-        self.parts.iter().any(|(known, _)| *known == request)
+        self.parts.iter().any(|part| part.request == request)
     }
 
     /// Processes parts for `time`.
     pub(super) fn work(&mut self, mut time: Duration) {
-        while let Some((_, left)) = self.parts.last_mut() {
-            if *left > time {
-                *left -= time;
+        while let Some(part) = self.parts.last_mut() {
+            if part.left > time {
+                part.left -= time;
                 return;
             }
-            time -= *left;
+            time -= part.left;
             self.parts.pop();
         }
     }
--- a/tests/entry_sim/mod.rs
+++ b/tests/entry_sim/mod.rs
@@ -35,9 +35,6 @@
 /// Maximum number of attempts of a caller.
 const MAX_ATTEMPTS: u32 = 2;
 
-/// Time after which a send whose reserved memory is not used is given up.
-const MAX_UNUSED_RESERVATION: Duration = Duration::from_millis(5_000);
-
 /// The engines of a placement.
 fn targets(placement: &Placement) -> impl Iterator<Item = u32> + '_ {
     let helpers = placement.helpers.iter().map(|helper| helper.target.key());
@@ -68,8 +65,8 @@
     Waiting(Duration),
     /// A placement was chosen and is sent at this time.
     Claimed(Duration, u64, Placement),
-    /// Parts are prefilled since this time.
-    Prefill(Duration, u64, Placement),
+    /// Parts are prefilled.
+    Prefill(u64, Placement),
     /// The answer is written at the primary engine; the time is what that takes beside no prefill.
     Decode(Duration, u64, usize),
     Over,
@@ -190,21 +187,18 @@
         match &self.attempts[at].stage {
             Stage::Waiting(due) if *due <= now => self.choose(at, now),
             Stage::Claimed(due, ..) if *due <= now => self.send(at, now),
-            Stage::Prefill(since, number, placement) => {
+            Stage::Prefill(number, placement) => {
                 let request = (self.attempts[at].instance, *number);
                 let is_done =
                     targets(placement).all(|key| !self.processors[self.engine(key)].has(request));
-                let has_reservations = placement.helpers.iter().any(|helper| helper.reserved > 0);
-                let is_over = now >= *since + MAX_UNUSED_RESERVATION;
                 if is_done {
                     self.answer(at, now);
-                } else if has_reservations && is_over {
-                    self.abandon(at, now);
                 }
             }
             Stage::Decode(left, number, engine) => {
                 let (left, number, engine) = (*left, *number, *engine);
-                let left = left.saturating_sub(self.processors[engine].decoded(STEP));
+                let left =
+                    left.saturating_sub(self.processors[engine].decoded(STEP, &self.profile));
                 if left.is_zero() {
                     self.views[self.attempts[at].instance].finish(number);
                     self.attempts[at].stage = Stage::Over;
@@ -312,31 +306,20 @@
             self.attempts[at].stage = Stage::Waiting(now + ATTEMPT_INTERVAL);
             return;
         }
+        let (part_time, prompt) = (
+            placement.part_time,
+            self.callers[self.attempts[at].caller].prompt,
+        );
         for key in targets(&placement) {
             let engine = self.engine(key);
-            self.processors[engine].add((instance, number), placement.part_time);
-        }
-        self.attempts[at].stage = Stage::Prefill(now, number, placement);
-    }
-
-    /// Gives up a send whose reserved memory is not used in time. The request looks for other engines.
-    fn abandon(&mut self, at: usize, now: Duration) {
-        let Stage::Prefill(_, number, placement) = &self.attempts[at].stage else {
-            return;
-        };
-        let (number, instance) = (*number, self.attempts[at].instance);
-        for key in targets(placement) {
-            let engine = self.engine(key);
-            self.processors[engine].remove((instance, number));
+            self.processors[engine].add((instance, number), part_time, prompt, &self.profile);
         }
-        self.views[instance].finish(number);
-        self.attempts[at].arrival = now;
-        self.attempts[at].stage = Stage::Waiting(now + ATTEMPT_INTERVAL);
+        self.attempts[at].stage = Stage::Prefill(number, placement);
     }
 
     /// The prompt is prefilled: the first event arrives.
     fn answer(&mut self, at: usize, now: Duration) {
-        let Stage::Prefill(_, number, placement) = &self.attempts[at].stage else {
+        let Stage::Prefill(number, placement) = &self.attempts[at].stage else {
             return;
         };
         let (number, engine) = (*number, self.engine(placement.primary.key()));
