--- a/tests/entry_release.rs
+++ b/tests/entry_release.rs
@@ -32,7 +32,7 @@
 /// Maximum time for which memory may stay reserved without being used, as agreed with the engines.
 const MAX_UNUSED: Duration = Duration::from_secs(9);
 
-/// Maximum time of a test, after the end of the request and the time allowed for its memory.
+/// Maximum time of a play.
 const RUN_TIME: Duration = Duration::from_secs(10);
 
 /// Maximum time for which memory may stay reserved after the end of its request, as agreed with the engines.
