entry: Keep a silent target until another one has answered

Cause: silence was taken for an end. After a probe without an answer, or 0.8 of the caller's patience, an instance closed the connection to the target, and only then asked whether another one may get the request. If the retry budget was empty, or no other target had room, the caller was cut.

A send or a stream whose target is silent now goes on while another target is found and asked; whichever answers first is used, and the other one is dropped. The retry budget is asked before a placement is looked for, and charged when it is found, so a request that finds none costs no retry. A target whose connection broke is left at once, as before. A request whose memory has expired leaves the view, so its engines are free for others, but it is ended by its engines only.

--- a/src/entry/budgets.rs
+++ b/src/entry/budgets.rs
@@ -41,18 +41,23 @@
         counts.requests.push_back(now);
     }
 
-    /// Spends one retry; false if the budget is used up. `instances` share the slack.
-    pub fn spend(&mut self, service: &str, instances: usize, now: Duration) -> bool {
+    /// Whether the budget allows another retry. `instances` share the slack.
+    pub fn has_retry(&mut self, service: &str, instances: usize, now: Duration) -> bool {
         let (window, ratio) = (self.window, self.ratio);
         let slack = self.slack * USED_SHARE / instances.max(1) as f64;
         let counts = self.counts(service);
         counts.trim(now, window);
         let allowed = ratio * USED_SHARE * counts.requests.len() as f64 + slack;
-        if counts.retries.len() as f64 + 1.0 > allowed {
-            return false;
+        counts.retries.len() as f64 + 1.0 <= allowed
+    }
+
+    /// Spends one retry; false if the budget is used up. `instances` share the slack.
+    pub fn spend(&mut self, service: &str, instances: usize, now: Duration) -> bool {
+        let has_retry = self.has_retry(service, instances, now);
+        if has_retry {
+            self.counts(service).retries.push_back(now);
         }
-        counts.retries.push_back(now);
-        true
+        has_retry
     }
 
     fn counts(&mut self, service: &str) -> &mut Counts {
--- a/src/entry/relay.rs
+++ b/src/entry/relay.rs
@@ -1,5 +1,7 @@
+use std::pin::pin;
 use std::time::Duration;
 
+use async_channel::Receiver;
 use bytes::Bytes;
 use futures_lite::future::or;
 use smol::Timer;
@@ -7,7 +9,7 @@
 use super::config::RouteKind;
 use super::platform::{Body, Failure};
 use super::reservation::{lost, Loss};
-use super::serve::{Exchange, InFlight, Opened, SILENCE_SHARE};
+use super::serve::{Exchange, InFlight, Opened, Opening, RETRY_INTERVAL, SILENCE_SHARE};
 use super::Events;
 use crate::event;
 
@@ -25,21 +27,40 @@
     has_progress: bool,
     /// None while the stream waits to be resumed.
     in_flight: Option<InFlight>,
+    /// Whether the target has been silent for so long that another one is asked.
+    is_silent: bool,
     last_events: Option<Duration>,
+    /// Gets the reason if memory of the request is lost; none if it has no memory, or if the reason is known.
+    loss: Option<Receiver<Loss>>,
     resumable: bool,
     target: std::rc::Rc<super::Target>,
 }
 
-enum Read {
-    Unreachable,
-    Chunk(Option<Result<Bytes, Failure>>),
-    Silent,
-}
-
 enum Step {
     Broken(Failure),
     Bytes(Bytes),
     End,
+    /// The target is silent, or cannot be reached by a new connection. It may go on.
+    Silent(Failure),
+}
+
+/// What comes first while another target is asked to continue a stream.
+enum Race {
+    Opened(Opening),
+    Read(Step),
+}
+
+/// Reads a part of the stream; empty if it completes no event.
+async fn read(body: &mut dyn Body, events: &mut Events) -> Step {
+    match body.next().await {
+        Some(Ok(bytes)) => match events.push(&bytes) {
+            Ok(events) => Step::Bytes(events),
+            Err(failure) => Step::Broken(failure),
+        },
+        Some(Err(failure)) => Step::Broken(failure),
+        None if events.is_whole() => Step::End,
+        None => Step::Broken(Failure::Broken),
+    }
 }
 
 impl Relay {
@@ -54,8 +75,10 @@
             exchange,
             first_events: Some(opened.first),
             has_progress: false,
-            in_flight: Some(opened.in_flight),
+            is_silent: false,
             last_events: None,
+            loss: opened.in_flight.loss(),
+            in_flight: Some(opened.in_flight),
             resumable,
             target: opened.target,
         }
@@ -73,21 +96,25 @@
             if self.ended {
                 return None;
             }
-            match self.step().await {
+            let mut step = self.step().await;
+            if let Step::Silent(failure) = step {
+                step = self.seek(failure).await;
+            }
+            if let Step::Broken(failure) = step {
+                step = self.resume(failure).await;
+            }
+            match step {
                 Step::Bytes(bytes) if bytes.is_empty() => {}
                 Step::Bytes(bytes) => return Some(Ok(bytes)),
                 Step::End => {
+                    self.exchange.record_answer();
                     self.end("ok");
                     return None;
                 }
-                Step::Broken(failure) => match self.resume(failure).await {
-                    Some(bytes) if bytes.is_empty() => {}
-                    Some(bytes) => return Some(Ok(bytes)),
-                    None => {
-                        self.end(failure.name());
-                        return Some(Err(failure));
-                    }
-                },
+                Step::Broken(failure) | Step::Silent(failure) => {
+                    self.end(failure.name());
+                    return Some(Err(failure));
+                }
             }
         }
     }
@@ -99,50 +126,48 @@
         }
         let max_silence = self.exchange.route.patience().mul_f64(SILENCE_SHARE);
         let (targets, address) = (&self.exchange.instance.targets, self.target.address);
-        let resumable = self.resumable;
+        let (resumable, is_silent) = (self.resumable, self.is_silent);
         let silence = async {
             if !resumable || left <= PROBE_AFTER {
                 Timer::after(left).await;
-                return Read::Silent;
+                return Step::Broken(Failure::Silent);
+            }
+            if is_silent {
+                Timer::after(RETRY_INTERVAL.min(left)).await;
+                return Step::Silent(Failure::Silent);
             }
             Timer::after(PROBE_AFTER).await;
             if !targets.probe(address).await {
-                return Read::Unreachable;
+                return Step::Silent(Failure::Unreachable);
             }
             Timer::after(max_silence.min(left).saturating_sub(PROBE_AFTER)).await;
-            Read::Silent
+            Step::Silent(Failure::Silent)
         };
-        let loss = self.in_flight.as_ref().and_then(InFlight::loss);
+        // A loss is reported once; then the channel is closed.
+        self.loss = self
+            .loss
+            .take()
+            .filter(|loss| !loss.is_closed() || !loss.is_empty());
+        let (loss, in_flight) = (self.loss.clone(), self.in_flight.as_ref());
         let lost = async {
             match lost(loss.as_ref()).await {
-                Loss::Expired | Loss::Unused => Read::Silent,
-                Loss::TargetGone => Read::Unreachable,
+                // The engines end the request if the memory has expired there too.
+                Loss::Expired => {
+                    in_flight.inspect(|in_flight| in_flight.leave_view());
+                    Step::Silent(Failure::Silent)
+                }
+                Loss::Unused => Step::Broken(Failure::Silent),
+                Loss::TargetGone => Step::Broken(Failure::Unreachable),
             }
         };
-        let silence = or(silence, lost);
-        let read = or(async { Read::Chunk(self.body.next().await) }, silence).await;
-        match read {
-            Read::Unreachable => {
-                self.exchange.instance.mark_unreachable(&self.target);
-                Step::Broken(Failure::Unreachable)
-            }
-            Read::Silent => Step::Broken(Failure::Silent),
-            Read::Chunk(Some(Err(failure))) => Step::Broken(failure),
-            Read::Chunk(None) if self.events.is_whole() => {
-                self.exchange.record_answer();
-                Step::End
+        let read = read(&mut *self.body, &mut self.events);
+        let step = or(read, or(silence, lost)).await;
+        if let Step::Bytes(bytes) = &step {
+            if !bytes.is_empty() {
+                self.record_events();
             }
-            Read::Chunk(None) => Step::Broken(Failure::Broken),
-            Read::Chunk(Some(Ok(bytes))) => match self.events.push(&bytes) {
-                Ok(events) => {
-                    if !events.is_empty() {
-                        self.record_events();
-                    }
-                    Step::Bytes(events)
-                }
-                Err(failure) => Step::Broken(failure),
-            },
         }
+        step
     }
 
     /// Records that the target sent events after the first ones.
@@ -154,6 +179,17 @@
         if let Some(in_flight) = &self.in_flight {
             in_flight.record_event();
         }
+        if self.is_silent {
+            self.is_silent = false;
+            self.exchange.instance.mark_reachable(&self.target);
+            event!(
+                self.exchange.instance.source,
+                "stream_goes_on",
+                request = self.exchange.request.id.as_str(),
+                target = self.target.id.as_str(),
+                last = self.events.last()
+            );
+        }
         self.measure();
     }
 
@@ -172,8 +208,74 @@
         }
     }
 
+    /// Asks another target to continue the stream while its own one is silent, and reads on from whichever answers first.
+    async fn seek(&mut self, failure: Failure) -> Step {
+        if !self.is_silent {
+            self.record_silence(failure);
+        }
+        let last = self.events.last();
+        let raced = {
+            let mut open = pin!(self.exchange.open(last));
+            loop {
+                let opened = async { Race::Opened(open.as_mut().await) };
+                let read = async { Race::Read(read(&mut *self.body, &mut self.events).await) };
+                match or(read, opened).await {
+                    Race::Read(Step::Bytes(bytes)) if bytes.is_empty() => {}
+                    // The other target may be about to answer.
+                    Race::Read(Step::Broken(broken)) => {
+                        self.in_flight = None;
+                        match open.await {
+                            Opening::Stream(opened) => break Race::Opened(Opening::Stream(opened)),
+                            Opening::Answer(_) | Opening::GivenUp(_) => {
+                                break Race::Read(Step::Broken(broken))
+                            }
+                        }
+                    }
+                    raced => break raced,
+                }
+            }
+        };
+        match raced {
+            Race::Opened(Opening::Stream(opened)) => Step::Bytes(self.switch(*opened)),
+            // No other target continues the stream, but its own one may.
+            Race::Opened(Opening::Answer(_) | Opening::GivenUp(_)) => Step::Bytes(Bytes::new()),
+            Race::Read(step) => {
+                self.exchange.count_sent();
+                if let Step::Bytes(_) = &step {
+                    self.record_events();
+                }
+                step
+            }
+        }
+    }
+
+    /// Records that the target is silent. The request ran there.
+    fn record_silence(&mut self, failure: Failure) {
+        self.is_silent = true;
+        let instance = &self.exchange.instance;
+        event!(
+            instance.source,
+            "stream_silent",
+            request = self.exchange.request.id.as_str(),
+            target = self.target.id.as_str(),
+            last = self.events.last(),
+            reason = failure.name(),
+            left_ms = self.exchange.time_left().as_millis() as u64
+        );
+        match failure {
+            Failure::Unreachable => instance.mark_unreachable(&self.target),
+            Failure::Broken | Failure::Silent | Failure::Unsent => {
+                let now = instance.clock.now();
+                instance.health.borrow_mut().eject(self.target.key(), now);
+                instance.targets.discard(self.target.address);
+            }
+        }
+        self.exchange.resumes = true;
+        self.exchange.count_run(self.target.key());
+    }
+
     /// Continues at another target after the last delivered event.
-    async fn resume(&mut self, failure: Failure) -> Option<Bytes> {
+    async fn resume(&mut self, failure: Failure) -> Step {
         let instance = self.exchange.instance.clone();
         // The request has ended at this target: its slot and its memory are free for others, and for its continuation.
         self.in_flight = None;
@@ -192,7 +294,7 @@
             if failure == Failure::Broken && !self.has_progress {
                 self.exchange.confirm_end(&self.target);
             }
-            return None;
+            return Step::Broken(failure);
         }
         self.exchange.resumes = true;
         match failure {
@@ -201,7 +303,7 @@
                 instance.targets.discard(self.target.address);
                 self.exchange.count_run(key);
             }
-            Failure::Unreachable => instance.health.borrow_mut().record(key, false, now),
+            Failure::Unreachable => instance.mark_unreachable(&self.target),
             Failure::Broken | Failure::Unsent => {
                 instance.health.borrow_mut().record(key, false, now);
                 // The request ran at a target whose connection alone was reset.
@@ -213,22 +315,25 @@
                 }
             }
         }
-        if !self.exchange.take_retry() {
-            return None;
-        }
         self.events.discard_partial();
-        let opened = match self.exchange.open(self.events.last()).await {
-            Ok(Ok(opened)) => opened,
-            Ok(Err(_)) | Err(_) => return None,
-        };
-        self.body = opened.body;
-        self.events = opened.events;
+        match self.exchange.open(self.events.last()).await {
+            Opening::Stream(opened) => Step::Bytes(self.switch(*opened)),
+            Opening::Answer(_) | Opening::GivenUp(_) => Step::Broken(failure),
+        }
+    }
+
+    /// Reads on from another target; returns its first events.
+    fn switch(&mut self, opened: Opened) -> Bytes {
         opened.in_flight.finish_prefill();
+        self.loss = opened.in_flight.loss();
         self.in_flight = Some(opened.in_flight);
+        self.body = opened.body;
+        self.events = opened.events;
         self.target = opened.target;
         self.has_progress = false;
+        self.is_silent = false;
         self.last_events = None;
-        Some(opened.first)
+        opened.first
     }
 
     fn end(&mut self, outcome: &str) {
--- a/src/entry/serve/in_flight.rs
+++ b/src/entry/serve/in_flight.rs
@@ -30,10 +30,16 @@
     pub(in crate::entry) fn loss(&self) -> Option<Receiver<Loss>> {
         self.memory.as_ref().map(|memory| memory.loss().clone())
     }
+
+    /// Removes the request from the view although it has not ended, because its memory has expired: its engines are free
+    /// for others.
+    pub(in crate::entry) fn leave_view(&self) {
+        self.instance.view.borrow_mut().finish(self.number);
+    }
 }
 
 impl Drop for InFlight {
     fn drop(&mut self) {
-        self.instance.view.borrow_mut().finish(self.number);
+        self.leave_view();
     }
 }
--- a/src/entry/serve/mod.rs
+++ b/src/entry/serve/mod.rs
@@ -1,8 +1,10 @@
 //! Serving of a caller's request: admission, placement, sending and retries.
 
+mod attempt;
 mod find;
 mod hold;
 mod in_flight;
+mod open;
 mod outcome;
 mod quarantine;
 mod record;
@@ -14,12 +16,11 @@
 
 use futures_lite::future::or;
 use http::header::{HeaderValue, CONTENT_TYPE};
-use http::{HeaderMap, StatusCode};
-use smol::Timer;
+use http::HeaderMap;
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::config::RouteKind;
-use super::platform::{Failure, Reply};
+use super::platform::Failure;
 use super::{
     fragment_key, Answer, Content, FragmentKey, Instance, Relay, Request, Route, Service, TargetKey,
 };
@@ -27,9 +28,11 @@
 use crate::event;
 use crate::id::WorkspaceId;
 
+use attempt::Attempt;
 pub(super) use in_flight::InFlight;
+pub(super) use open::{Opening, RETRY_INTERVAL};
+use outcome::GivenUp;
 pub(super) use outcome::Opened;
-use outcome::{Buffered, GivenUp, Outcome};
 
 /// Time until a request without a placement tries again; heartbeats bring news about as often.
 const PLACEMENT_INTERVAL: Duration = Duration::from_millis(25);
@@ -71,6 +74,8 @@
     sends: u32,
     pub(super) service: Rc<Service>,
     tried: Vec<TargetKey>,
+    /// Target of the newest send if it is not in `ran` yet.
+    uncounted: Option<TargetKey>,
     workspace: Option<WorkspaceId>,
 }
 
@@ -112,7 +117,7 @@
         let opened = or(open, ended).await;
         let opened = match opened {
             Some(opened) => opened,
-            None => Err(exchange.interrupted()),
+            None => Opening::GivenUp(exchange.interrupted()),
         };
         let elapsed = self.clock.now().saturating_sub(arrival).as_secs_f64();
         self.metrics
@@ -120,20 +125,20 @@
             .with_label_values(&[kind])
             .observe(elapsed);
         match opened {
-            Ok(Ok(opened)) => {
+            Opening::Stream(opened) => {
                 let (status, headers) = (opened.status, opened.headers.clone());
-                let relay = Relay::new(exchange, opened);
+                let relay = Relay::new(exchange, *opened);
                 Answer::Reply {
                     content: Content::Streamed(Box::new(relay)),
                     headers,
                     status,
                 }
             }
-            Ok(Err(reply)) => {
+            Opening::Answer(reply) => {
                 self.finish(kind, &request.id, arrival, reply.status.as_str());
                 reply.into()
             }
-            Err(given_up) => {
+            Opening::GivenUp(given_up) => {
                 self.finish(kind, &request.id, arrival, given_up.kind.name());
                 match given_up.answered {
                     Some(reply) => reply.into(),
@@ -215,80 +220,13 @@
             sends: 0,
             service: service.clone(),
             tried: Vec::new(),
+            uncounted: None,
             workspace: workspace.map(|workspace| workspace.name.clone()),
         })
     }
 }
 
 impl Exchange {
-    /// Sends the request to one target after another until one answers. A stream continues after the event
-    /// `last_event_id`.
-    pub(super) async fn open(
-        &mut self,
-        last_event_id: Option<u64>,
-    ) -> Result<Result<Opened, Buffered>, GivenUp> {
-        let mut answered = None;
-        loop {
-            let (placement, in_flight) = match self.find_placement().await {
-                Ok(found) => found,
-                Err(mut given_up) => {
-                    given_up.answered = answered;
-                    return Err(given_up);
-                }
-            };
-            if let Some(given_up) = self.check_fragments() {
-                return Err(given_up);
-            }
-            let (target, key) = (placement.primary.clone(), placement.primary.key());
-            self.sends += 1;
-            self.tried.push(key);
-            let started = self.instance.clock.now();
-            let outcome = self.send(placement, in_flight, last_event_id).await;
-            let took = self.instance.clock.now().saturating_sub(started);
-            self.record(&target, &outcome, took);
-            if matches!(outcome, Outcome::Failed(Failure::Broken)) {
-                self.confirm_end(&target);
-            }
-            if !outcome.may_have_run() {
-                self.cancel_trial();
-            }
-            match outcome {
-                Outcome::Opened(opened) => return Ok(Ok(opened)),
-                Outcome::Answered(reply) => {
-                    self.count_run(key);
-                    if reply.status.is_success() {
-                        self.record_answer();
-                    }
-                    let is_final = !reply.status.is_server_error();
-                    if is_final || !self.route.kind.is_repeatable() || last_event_id.is_some() {
-                        return Ok(Err(reply));
-                    }
-                    answered = Some(reply);
-                }
-                Outcome::Failed(failure) if failure.may_have_run() => {
-                    self.count_run(key);
-                    if !self.route.kind.is_repeatable() {
-                        return Err(self.outcome_unknown(failure));
-                    }
-                }
-                Outcome::NoMemory => {
-                    self.tried.pop();
-                    Timer::after(PLACEMENT_INTERVAL).await;
-                    if self.sends < MAX_SENDS && !self.time_left().is_zero() {
-                        continue;
-                    }
-                }
-                Outcome::NotRun(_) => self.refused.push(key),
-                Outcome::Failed(_) => {}
-            }
-            if !self.take_retry() {
-                let mut given_up = self.retries_exhausted();
-                given_up.answered = answered;
-                return Err(given_up);
-            }
-        }
-    }
-
     /// Time until the request times out.
     pub(super) fn time_left(&self) -> Duration {
         self.deadline.saturating_sub(self.instance.clock.now())
@@ -308,15 +246,8 @@
         self.content_type = headers.get(CONTENT_TYPE).cloned();
     }
 
-    /// Whether an answer may continue the stream that the caller has a part of. A later error, or an answer of another
-    /// type, is no part of it.
-    fn continues(&self, reply: &Reply) -> bool {
-        reply.status == StatusCode::OK
-            && reply.headers.get(CONTENT_TYPE) == self.content_type.as_ref()
-    }
-
-    /// Spends a retry from the budget; false if the limits of the route or the budget allow none.
-    pub(super) fn take_retry(&self) -> bool {
+    /// Whether the limits of the route and the budget allow a retry.
+    pub(super) fn may_retry(&self) -> bool {
         if !self.may_use_another() && !self.resumes
             || self.sends >= MAX_SENDS
             || self.time_left().is_zero()
@@ -324,21 +255,36 @@
             return false;
         }
         let instance = &self.instance;
-        let now = instance.clock.now();
-        let instances = instance.instances();
+        let (now, instances) = (instance.clock.now(), instance.instances());
+        let mut budgets = instance.budgets.borrow_mut();
+        let has_budget = budgets.has_retry(&self.service.name, instances, now);
+        if !has_budget {
+            self.log_budget_empty();
+        }
+        has_budget
+    }
+
+    /// Spends a retry from the budget; false if the budget is used up.
+    fn spend_retry(&self) -> bool {
+        let instance = &self.instance;
+        let (now, instances) = (instance.clock.now(), instance.instances());
         let mut budgets = instance.budgets.borrow_mut();
         let has_budget = budgets.spend(&self.service.name, instances, now);
         if !has_budget {
-            event!(
-                instance.source,
-                "budget_empty",
-                request = self.request.id.as_str(),
-                service = self.service.name.as_str()
-            );
+            self.log_budget_empty();
         }
         has_budget
     }
 
+    fn log_budget_empty(&self) {
+        event!(
+            self.instance.source,
+            "budget_empty",
+            request = self.request.id.as_str(),
+            service = self.service.name.as_str()
+        );
+    }
+
     /// Counts a target at which the request ran or may have run. A stream that returns to a target uses no further one.
     pub(super) fn count_run(&mut self, target: TargetKey) {
         if !self.resumes || !self.ran.contains(&target) {
@@ -346,6 +292,33 @@
         }
     }
 
+    /// Counts the target of the newest send, which may have run the request.
+    pub(super) fn count_sent(&mut self) {
+        if let Some(key) = self.uncounted.take() {
+            self.count_run(key);
+        }
+    }
+
+    /// Counts the target of a send that ended, unless it was counted when it fell silent.
+    fn count_outcome(&mut self, attempt: &Attempt) {
+        if !attempt.is_silent {
+            self.count_sent();
+        }
+    }
+
+    /// Takes back what was counted for a send that its target did not run.
+    fn discount(&mut self, attempt: &Attempt) {
+        if !attempt.is_silent {
+            self.uncounted = None;
+            self.cancel_trial();
+            return;
+        }
+        let key = attempt.target.key();
+        if let Some(at) = self.ran.iter().rposition(|ran| *ran == key) {
+            self.ran.remove(at);
+        }
+    }
+
     /// Whether the route's maximum allows a target at which the request has not run.
     fn may_use_another(&self) -> bool {
         self.ran.len() < self.route.max_attempts as usize
--- a/src/entry/serve/outcome.rs
+++ b/src/entry/serve/outcome.rs
@@ -37,7 +37,7 @@
     NoMemory,
     /// The target did not run the request; it may name another target as the cause.
     NotRun(Option<String>),
-    Opened(Opened),
+    Opened(Box<Opened>),
 }
 
 impl Outcome {
--- a/src/entry/serve/send.rs
+++ b/src/entry/serve/send.rs
@@ -1,23 +1,22 @@
+use std::convert::Infallible;
 use std::rc::Rc;
 use std::time::Duration;
 
+use async_channel::Sender;
 use bytes::Bytes;
 use futures_lite::future::or;
-use smol::Timer;
+use http::header::{HeaderValue, CONTENT_TYPE};
+use http::StatusCode;
 
+use super::attempt::Attempt;
 use super::outcome::{Buffered, Opened, Outcome};
-use super::{Exchange, InFlight, RouteKind, SILENCE_SHARE};
+use super::{Exchange, InFlight, RouteKind};
 use crate::entry::platform::{Call, Failure, Reply};
 use crate::entry::proof::{Evidence, Guards, Verdict};
-use crate::entry::reservation::{lost, Memory};
-use crate::entry::{Events, Helper, Placement, Target};
+use crate::entry::reservation::{lost, Loss, Memory};
+use crate::entry::{Events, Helper, Instance, Placement, Request, Route, Target};
 use crate::event;
-
-/// Time past the predicted first event after which a silent target is probed by a new connection: several passes.
-const PROBE_AFTER: Duration = Duration::from_millis(250);
-
-/// A repeatable request without a stream is retried after this many objectives without an answer.
-const OBJECTIVES_BEFORE_RETRY: u32 = 3;
+use crate::id::WorkspaceId;
 
 /// Maximum size of an answer that is read completely before it is forwarded, so that a broken one can be retried.
 const MAX_BUFFERED_BYTES: usize = 256 << 10;
@@ -31,13 +30,62 @@
     ids.join(",")
 }
 
+/// One send of a request.
+struct Delivery {
+    /// Content type of the stream that the caller already has a part of.
+    content_type: Option<HeaderValue>,
+    deadline: Duration,
+    /// Closed when memory of the request has expired; no value is ever sent.
+    expired: Sender<Infallible>,
+    instance: Rc<Instance>,
+    last_event_id: Option<u64>,
+    /// Number of this send of the request.
+    number: u32,
+    priority: u8,
+    request: Rc<Request>,
+    resumes: bool,
+    route: Rc<Route>,
+    workspace: Option<WorkspaceId>,
+}
+
 impl Exchange {
-    pub(super) async fn send(
+    /// Starts sending the request to its placement.
+    pub(super) fn send(
         &self,
         placement: Placement,
-        mut in_flight: InFlight,
+        in_flight: InFlight,
         last_event_id: Option<u64>,
-    ) -> Outcome {
+    ) -> Attempt {
+        let (expired, expiry) = async_channel::bounded(1);
+        let started = self.instance.clock.now();
+        let (predicted, target) = (placement.wait, placement.primary.clone());
+        let delivery = Delivery {
+            content_type: self.content_type.clone(),
+            deadline: self.deadline,
+            expired,
+            instance: self.instance.clone(),
+            last_event_id,
+            number: self.sends,
+            priority: self.priority,
+            request: self.request.clone(),
+            resumes: self.resumes,
+            route: self.route.clone(),
+            workspace: self.workspace.clone(),
+        };
+        let outcome = async move { delivery.run(placement, in_flight).await };
+        Attempt {
+            expiry,
+            is_silent: false,
+            outcome: Box::pin(outcome),
+            predicted,
+            started,
+            target,
+        }
+    }
+}
+
+impl Delivery {
+    async fn run(&self, placement: Placement, mut in_flight: InFlight) -> Outcome {
         let instance = &self.instance;
         let now = instance.clock.now();
         let target = placement.primary.clone();
@@ -61,25 +109,26 @@
             .map(|helper| (helper.target.address, ticket(helper)))
             .collect();
         instance.cold_limiter.borrow_mut().count(target.key(), now);
+        let time_left = self.deadline.saturating_sub(instance.clock.now());
         event!(
             instance.source,
             "send",
             request = self.request.id.as_str(),
             route = self.route.name.as_str(),
             target = target.id.as_str(),
-            attempt = self.sends,
+            attempt = self.number,
             prompt = self.request.prompt.unwrap_or_default().tokens,
             helpers = ids(helpers),
             part_ms = placement.part_time.as_millis() as u64,
             late = placement.background,
             predicted_ms = placement.wait.as_millis() as u64,
-            left_ms = self.time_left().as_millis() as u64
+            left_ms = time_left.as_millis() as u64
         );
-        let loss = in_flight.loss();
+        let (loss, number) = (in_flight.loss(), in_flight.number);
         let call = Call {
-            deadline: self.time_left(),
+            deadline: time_left,
             helpers: helper_addresses,
-            last_event_id,
+            last_event_id: self.last_event_id,
             priority: self.priority,
             request: self.request.clone(),
             target: target.clone(),
@@ -87,29 +136,26 @@
         };
         let exchange = async {
             match instance.targets.send(call).await {
-                Ok(reply) => self.receive(reply, in_flight, &target, last_event_id).await,
+                Ok(reply) => self.receive(reply, in_flight, &target).await,
                 Err(failure) => Outcome::Failed(failure),
             }
         };
-        let silence = async {
-            let silence = self.wait_for_silence(&target, placement.wait);
-            let lost = async {
-                lost(loss.as_ref()).await;
-            };
-            or(silence, lost).await;
-            Outcome::Failed(Failure::Silent)
+        let lost = async {
+            match lost(loss.as_ref()).await {
+                // The engines end the request if the memory has expired there too.
+                Loss::Expired => {
+                    instance.view.borrow_mut().finish(number);
+                    self.expired.close();
+                    std::future::pending().await
+                }
+                Loss::TargetGone | Loss::Unused => Outcome::Failed(Failure::Silent),
+            }
         };
-        or(exchange, silence).await
+        or(exchange, lost).await
     }
 
     /// Checks the head of an answer, then reads the complete body or, for a stream, the first events.
-    async fn receive(
-        &self,
-        mut reply: Reply,
-        in_flight: InFlight,
-        target: &Rc<Target>,
-        last_event_id: Option<u64>,
-    ) -> Outcome {
+    async fn receive(&self, mut reply: Reply, in_flight: InFlight, target: &Rc<Target>) -> Outcome {
         let verdict = Evidence::new(&reply, &self.request.id).verdict(Guards::default());
         if verdict == Verdict::Foreign {
             return Outcome::Failed(Failure::Broken);
@@ -139,7 +185,7 @@
         if self.resumes && !self.continues(&reply) {
             return Outcome::Failed(Failure::Broken);
         }
-        let mut events = Events::after(last_event_id).with_fields(reply.event_fields);
+        let mut events = Events::after(self.last_event_id).with_fields(reply.event_fields);
         let mut first = Bytes::new();
         while first.is_empty() {
             first = match reply.body.next().await {
@@ -156,7 +202,7 @@
         }
         in_flight.record_event();
         in_flight.finish_prefill();
-        Outcome::Opened(Opened {
+        Outcome::Opened(Box::new(Opened {
             body: reply.body,
             events,
             first,
@@ -164,33 +210,14 @@
             in_flight,
             status: reply.status,
             target: target.clone(),
-        })
+        }))
     }
 
-    /// Returns when the target has been silent for too long.
-    async fn wait_for_silence(&self, target: &Target, predicted: Duration) {
-        let limit = self.time_left();
-        let may_retry = self.route.kind.is_repeatable()
-            && self.ran.len() + 1 < self.route.max_attempts as usize;
-        if !may_retry {
-            Timer::after(limit).await;
-            return;
-        }
-        if !matches!(self.route.kind, RouteKind::Stream { .. }) {
-            Timer::after((self.route.objective * OBJECTIVES_BEFORE_RETRY).min(limit)).await;
-            return;
-        }
-        let patience = self.route.patience().mul_f64(SILENCE_SHARE).min(limit);
-        let mut waited = Duration::ZERO;
-        while waited < patience {
-            let step = (predicted + PROBE_AFTER).min(patience - waited);
-            Timer::after(step).await;
-            waited += step;
-            if waited < patience && !self.instance.targets.probe(target.address).await {
-                self.instance.mark_unreachable(target);
-                return;
-            }
-        }
+    /// Whether an answer may continue the stream that the caller has a part of. A later error, or an answer of another
+    /// type, is no part of it.
+    fn continues(&self, reply: &Reply) -> bool {
+        reply.status == StatusCode::OK
+            && reply.headers.get(CONTENT_TYPE) == self.content_type.as_ref()
     }
 }
 
--- a/tests/entry_core/mod.rs
+++ b/tests/entry_core/mod.rs
@@ -19,10 +19,19 @@
 pub(crate) fn start(
     ids: impl IntoIterator<Item = String>,
     targets: Rc<dyn Targets>,
+) -> (Rc<Instance>, Rc<LocalExecutor<'static>>) {
+    start_with(Settings::default(), ids, targets)
+}
+
+/// The same with these settings.
+pub(crate) fn start_with(
+    settings: Settings,
+    ids: impl IntoIterator<Item = String>,
+    targets: Rc<dyn Targets>,
 ) -> (Rc<Instance>, Rc<LocalExecutor<'static>>) {
     let executor = Rc::new(LocalExecutor::new());
     let instance = Instance::new(
-        Settings::default(),
+        settings,
         executor.clone(),
         Box::new(FixedDecoder),
         Rc::new(RefusingLog),
--- /dev/null
+++ b/tests/entry_silence.rs
@@ -0,0 +1,104 @@
+//! Guards against answers that are cut although their engine was only silent for a while. Runs the whole core without a
+//! socket.
+
+mod entry_core;
+mod entry_fixtures;
+mod entry_script;
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use entry_fixtures::ms;
+use entry_script::{opened, play, play_with, Engines, Step};
+use jujubehook::entry::platform::Failure;
+use jujubehook::entry::{Answer, Instance, Settings};
+
+/// Tokens of a prompt that one engine reads at once.
+const SHORT: u64 = 2_000;
+
+/// Maximum time until a stream is moved from an engine that broke it.
+const MOVE_TIME: Duration = Duration::from_millis(300);
+
+/// A retry budget that allows no retry.
+fn no_budget() -> Settings {
+    Settings {
+        budget_ratio: 0.0,
+        budget_slack: 0.0,
+        ..Settings::default()
+    }
+}
+
+/// Reads a stream to its end and checks that it is whole: two events.
+async fn read_whole(_: Rc<Instance>, answer: Answer) {
+    let mut relay = opened(answer).await;
+    let second = relay.next().await;
+    assert_eq!(second, Some(Ok("id: 2\ndata: x\n\n".into())));
+    assert_eq!(relay.next().await, None);
+}
+
+/// An engine that stands still for a time between two events.
+fn between_events(time: Duration) -> Rc<Engines> {
+    Rc::new(Engines::new([
+        Step::Event(1),
+        Step::Stand(time),
+        Step::Event(2),
+        Step::End,
+    ]))
+}
+
+/// An engine that stands still for a time before the first event.
+fn before_events(time: Duration) -> Rc<Engines> {
+    Rc::new(Engines::new([
+        Step::Stand(time),
+        Step::Event(1),
+        Step::Event(2),
+        Step::End,
+    ]))
+}
+
+/// No retry is allowed while an engine stands still: its stream must not be cut.
+#[test]
+fn no_retry_left() {
+    for time in [600, 1_000, 1_500, 2_500] {
+        let engines = between_events(ms(time));
+        play_with(no_budget(), &engines, "/twice/", SHORT, read_whole);
+        assert_eq!(engines.sends.get(), 1, "{time} ms");
+    }
+}
+
+/// The other engine that is asked never answers, and the first one goes on: its stream must not be cut.
+#[test]
+fn other_is_silent() {
+    let engines = between_events(ms(1_500));
+    play(&engines, "/twice/", SHORT, read_whole);
+    assert_eq!(engines.sends.get(), 2);
+}
+
+/// The same before the first event.
+#[test]
+fn late_first_event() {
+    let engines = before_events(ms(1_500));
+    play(&engines, "/twice/", SHORT, read_whole);
+    assert_eq!(engines.sends.get(), 2);
+}
+
+/// The same when no retry is allowed.
+#[test]
+fn late_without_retry() {
+    let engines = before_events(ms(1_500));
+    play_with(no_budget(), &engines, "/twice/", SHORT, read_whole);
+    assert_eq!(engines.sends.get(), 1);
+}
+
+/// A broken connection is no silence: without a retry the caller learns of it at once.
+#[test]
+fn break_is_final() {
+    let engines = Rc::new(Engines::new([Step::Event(1), Step::Break]));
+    let caller = async |_: Rc<Instance>, answer| {
+        let mut relay = opened(answer).await;
+        let began = Instant::now();
+        assert_eq!(relay.next().await, Some(Err(Failure::Broken)));
+        assert!(began.elapsed() < MOVE_TIME);
+    };
+    play_with(no_budget(), &engines, "/twice/", SHORT, caller);
+}
