reservation: Do not end a request whose target is silent

Three unanswered questions within two seconds counted as the end of the process that got the request, and one unanswered question for the use of memory as "not used".

An unanswered question now only stops the renewal, and is repeated sooner. The memory is renewed when the target is heard again, and expires after its lease otherwise, so it still outlives a request that ended by less than four seconds. Only another process at the address ends the request at once. Memory of unknown use is given up before it counts as stuck, as before.

--- a/src/entry/platform.rs
+++ b/src/entry/platform.rs
@@ -158,8 +158,12 @@
         hold: Duration,
     ) -> LocalBoxFuture<'a, Ordered>;
 
-    /// Whether a request uses memory that is reserved at a target; not if that is not known.
-    fn uses_memory<'a>(&'a self, target: &'a Target, ticket: &'a str) -> LocalBoxFuture<'a, bool>;
+    /// Whether a request uses memory that is reserved at a target; none if the target does not answer.
+    fn uses_memory<'a>(
+        &'a self,
+        target: &'a Target,
+        ticket: &'a str,
+    ) -> LocalBoxFuture<'a, Option<bool>>;
 
     /// Sends a request and waits for the head of the answer. Dropping the future or the body cancels the request.
     fn send(&self, call: Call) -> LocalBoxFuture<'_, Result<Reply, Failure>>;
--- a/src/entry/reservation.rs
+++ b/src/entry/reservation.rs
@@ -22,9 +22,9 @@
 /// Time after which memory that no request has used counts as stuck.
 const MAX_UNUSED: Duration = Duration::from_secs(9);
 
-/// Number of questions without an answer after which the process that got a request counts as gone. A full one resets
-/// new connections for a while.
-const MAX_SILENT_QUESTIONS: u32 = 3;
+/// Pause before an unanswered question to the process that got a request is repeated, so that a process that was silent
+/// is heard before its memory expires.
+const QUESTION_RETRY: Duration = Duration::from_millis(100);
 
 /// Age up to which an event proves that its request runs, so that the process is not asked. Memory outlives its request by
 /// this time and one lease.
@@ -41,7 +41,7 @@
 pub(super) enum Loss {
     /// A reservation could not be renewed before it ended.
     Expired,
-    /// The process that got the request is gone or cannot be reached.
+    /// The process that got the request is gone.
     TargetGone,
     /// The request has not begun to use it in time.
     Unused,
@@ -204,46 +204,43 @@
     lost: Sender<Loss>,
 ) {
     let acquired = reservations.iter().map(|known| known.confirmed.get());
-    let check_use = acquired.min().unwrap_or_default() + MAX_UNUSED - RENEW_INTERVAL - RENEW_RETRY;
+    let acquired = acquired.min().unwrap_or_default();
+    let check_use = acquired + MAX_UNUSED - RENEW_INTERVAL - RENEW_RETRY;
     let mut is_used = false;
-    let mut silent_questions = 0;
+    let mut min_pause = RENEW_RETRY;
     let loss = loop {
         let confirmed = reservations.iter().map(|known| known.confirmed.get());
-        let due = confirmed.min().unwrap_or_default() + RENEW_INTERVAL;
-        let pause = due.saturating_sub(instance.clock.now());
-        Timer::after(pause.max(RENEW_RETRY)).await;
+        let confirmed = confirmed.min().unwrap_or_default();
+        let pause = (confirmed + RENEW_INTERVAL).saturating_sub(instance.clock.now());
+        Timer::after(pause.max(min_pause)).await;
+        min_pause = RENEW_RETRY;
+        let presence = presence(&instance, &user, &last_event).await;
         let now = instance.clock.now();
-        let has_event = last_event.get().is_some_and(|at| now < at + MAX_EVENT_AGE);
-        if !has_event {
-            match instance.presence(&user).await {
-                Presence::Running => {}
-                Presence::Replaced => break Loss::TargetGone,
-                Presence::Silent => {
-                    silent_questions += 1;
-                    if silent_questions < MAX_SILENT_QUESTIONS {
-                        continue;
-                    }
-                    instance.mark_unreachable(&user);
-                    break Loss::TargetGone;
-                }
-            }
-        }
-        silent_questions = 0;
-        let now = instance.clock.now();
-        if reservations
-            .iter()
-            .any(|known| now >= known.confirmed.get() + LEASE)
-        {
+        if now >= confirmed + LEASE {
             // The engine has freed the memory and cut the request off.
             break Loss::Expired;
         }
+        match presence {
+            Presence::Running => {}
+            Presence::Replaced => break Loss::TargetGone,
+            // It may have ended, so nothing is renewed until it is heard again.
+            Presence::Silent => {
+                min_pause = QUESTION_RETRY;
+                continue;
+            }
+        }
         is_used |= last_event.get().is_some();
         if now >= check_use && !is_used {
-            is_used = are_used(&instance, &reservations).await;
-            if !is_used {
-                break Loss::Unused;
+            match are_used(&instance, &reservations).await {
+                Some(true) => is_used = true,
+                None if now + RENEW_RETRY * 2 < acquired + MAX_UNUSED => {
+                    min_pause = QUESTION_RETRY;
+                    continue;
+                }
+                Some(false) | None => break Loss::Unused,
             }
         }
+        let now = instance.clock.now();
         let is_due =
             |known: &&Rc<Reservation>| now + RENEW_RETRY >= known.confirmed.get() + RENEW_INTERVAL;
         let calls: Vec<Task<()>> = reservations
@@ -271,14 +268,31 @@
     let _ = lost.try_send(loss);
 }
 
-async fn are_used(instance: &Instance, reservations: &[Rc<Reservation>]) -> bool {
+/// Whether the process that got the request runs; a new event is a sufficient answer.
+async fn presence(
+    instance: &Instance,
+    user: &Target,
+    last_event: &Cell<Option<Duration>>,
+) -> Presence {
+    let now = instance.clock.now();
+    match last_event.get() {
+        Some(at) if now < at + MAX_EVENT_AGE => Presence::Running,
+        Some(_) | None => instance.presence(user).await,
+    }
+}
+
+/// Whether a request uses all the memory; none if an engine does not answer.
+async fn are_used(instance: &Instance, reservations: &[Rc<Reservation>]) -> Option<bool> {
+    let mut all = Some(true);
     for known in reservations {
         let targets = &instance.targets;
-        if !targets.uses_memory(&known.target, &known.ticket).await {
-            return false;
+        match targets.uses_memory(&known.target, &known.ticket).await {
+            Some(true) => {}
+            Some(false) => return Some(false),
+            None => all = None,
         }
     }
-    true
+    all
 }
 
 /// Releases memory until nothing can reserve it again. A target that is no longer listed may still run.
--- a/tests/entry_memory.rs
+++ b/tests/entry_memory.rs
@@ -95,8 +95,8 @@
         Box::pin(async { Ordered::default() })
     }
 
-    fn uses_memory<'a>(&'a self, _: &'a Target, _: &'a str) -> LocalBoxFuture<'a, bool> {
-        Box::pin(async { true })
+    fn uses_memory<'a>(&'a self, _: &'a Target, _: &'a str) -> LocalBoxFuture<'a, Option<bool>> {
+        Box::pin(async { Some(true) })
     }
 
     fn send(&self, _: Call) -> LocalBoxFuture<'_, Result<Reply, Failure>> {
--- a/tests/entry_panic.rs
+++ b/tests/entry_panic.rs
@@ -42,8 +42,8 @@
         Box::pin(async { Ordered::default() })
     }
 
-    fn uses_memory<'a>(&'a self, _: &'a Target, _: &'a str) -> LocalBoxFuture<'a, bool> {
-        Box::pin(async { true })
+    fn uses_memory<'a>(&'a self, _: &'a Target, _: &'a str) -> LocalBoxFuture<'a, Option<bool>> {
+        Box::pin(async { Some(true) })
     }
 
     fn send(&self, call: Call) -> LocalBoxFuture<'_, Result<Reply, Failure>> {
--- a/tests/entry_script/mod.rs
+++ b/tests/entry_script/mod.rs
@@ -267,8 +267,8 @@
         Box::pin(async { DONE })
     }
 
-    fn uses_memory<'a>(&'a self, _: &'a Target, _: &'a str) -> LocalBoxFuture<'a, bool> {
-        Box::pin(async { !self.0.is_queued })
+    fn uses_memory<'a>(&'a self, _: &'a Target, _: &'a str) -> LocalBoxFuture<'a, Option<bool>> {
+        Box::pin(async { Some(!self.0.is_queued) })
     }
 
     fn send(&self, call: Call) -> LocalBoxFuture<'_, Result<Reply, Failure>> {
--- a/tests/entry_silence.rs
+++ b/tests/entry_silence.rs
@@ -9,7 +9,7 @@
 use std::time::{Duration, Instant};
 
 use entry_fixtures::ms;
-use entry_script::{opened, play, play_with, Engines, Step};
+use entry_script::{opened, play, play_with, Engines, Step, LARGEST, WIDE};
 use jujubehook::entry::platform::Failure;
 use jujubehook::entry::{Answer, Instance, Settings};
 
@@ -90,6 +90,36 @@
     assert_eq!(engines.sends.get(), 1);
 }
 
+/// An engine that uses memory at others stands still when the memory is due for renewal: its stream must not be cut.
+#[test]
+fn memory_due() {
+    let engines = Rc::new(Engines::new([
+        Step::Event(1),
+        Step::Wait(ms(1_700)),
+        Step::Stand(ms(1_300)),
+        Step::Wait(ms(3_500)),
+        Step::Event(2),
+        Step::End,
+    ]));
+    play_with(no_budget(), &engines, "/twice/", WIDE, read_whole);
+    engines.check();
+}
+
+/// The same before the first event.
+#[test]
+fn memory_due_first() {
+    let engines = Rc::new(Engines::new([
+        Step::Wait(ms(1_700)),
+        Step::Stand(ms(1_300)),
+        Step::Wait(ms(3_500)),
+        Step::Event(1),
+        Step::Event(2),
+        Step::End,
+    ]));
+    play_with(no_budget(), &engines, "/twice/", LARGEST, read_whole);
+    engines.check();
+}
+
 /// A broken connection is no silence: without a retry the caller learns of it at once.
 #[test]
 fn break_is_final() {
