--- a/src/entry/serve/open.rs
+++ b/src/entry/serve/open.rs
@@ -70,7 +70,7 @@
 /// What the outcome of a send means for the request.
 enum Verdict {
     Final(Opening),
-    /// Nothing was sent, and no retry is needed to place the request again.
+    /// Nothing was sent, so the request may be placed again without another retry.
     Replace,
     Retry,
 }
@@ -218,6 +218,7 @@
         match self.judge(&attempt, outcome, is_final_error, &mut search.answered) {
             Verdict::Final(opening) => return Some(opening),
             Verdict::Replace => {
+                search.is_retry = false;
                 Timer::after(PLACEMENT_INTERVAL).await;
                 if self.sends < MAX_SENDS && !self.time_left().is_zero() {
                     search.phase = Phase::Find;
