entry: Tell the eras of a restored log apart

When the log comes back from an older copy, offsets go back and are given out again. A record's place was its offset alone, so the fold dropped a change that was written after the restore as older than the one that the copy lost, and reads began beyond the end of the log. Callers got 404 for an added route, and a moved one was served by an older version.

A position is now an era and an offset, compared in that order: in records, folds, heartbeats, transfers and log lines. The platform's client takes the era from each answer. A new era begins only with a whole state. What was in force and is not in that state stays in force until a record of the new era takes its place, by the order that the writer gave its values (version of a configuration; start and sequence of a target), else by position, or until a bound passes. An instance that starts asks another one once for what the copy lacks, and heartbeats carry the version of the configuration. Entries of instances are compared with the log at once.

--- a/src/entry/follow.rs
+++ b/src/entry/follow.rs
@@ -1,6 +1,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use futures_lite::future::or;
 use smol::Timer;
 
 use super::member::{shares_reads, Entry};
@@ -11,6 +12,10 @@
 /// Time between two reads of the instances' records, in case two instances missed each other.
 const INSTANCES_INTERVAL: Duration = Duration::from_secs(30);
 
+/// Maximum time after which an instance compares the instances' records with a log that came back from an older copy;
+/// at random, so that not all instances write theirs again in the same moment.
+const MAX_SYNC_DELAY: Duration = Duration::from_secs(2);
+
 /// Maximum time for which the log holds a read open.
 const MAX_POLL: Duration = Duration::from_secs(10);
 
@@ -92,7 +97,14 @@
                 pause = longer(pause, instance, Topic::Instances);
             }
         }
-        Timer::after(pause.mul_f64(0.5 + fastrand::f64() / 2.0)).await;
+        let pause_ends = async {
+            Timer::after(pause.mul_f64(0.5 + fastrand::f64() / 2.0)).await;
+        };
+        let requested = async {
+            instance.sync_requested().await;
+            Timer::after(MAX_SYNC_DELAY.mul_f64(fastrand::f64())).await;
+        };
+        or(pause_ends, requested).await;
     }
 }
 
@@ -102,7 +114,7 @@
     read_instances(instance).await?;
     let is_known = {
         let folds = instance.folds.borrow();
-        folds[Topic::Instances as usize].value(name) == Some(value)
+        folds[Topic::Instances as usize].recorded(name) == Some(value)
     };
     if is_known {
         return Ok(());
@@ -143,7 +155,7 @@
         let read = if whole {
             instance.log.newest(topic).await
         } else {
-            instance.log.read(topic, end, wait).await
+            instance.log.read(topic, end.offset, wait).await
         };
         instance.set_reads(topic, read.is_ok() && instance.is_reader(topic));
         match read {
@@ -154,26 +166,29 @@
                         instance.source,
                         "log_regained",
                         topic = topic.name(),
-                        end = batch.end,
+                        era = batch.end.era,
+                        end = batch.end.offset,
                         after_ms = elapsed_ms(instance, last_answer)
                     );
                 }
-                let is_behind = batch.end < batch.log_end;
+                let is_behind = batch.end.offset < batch.log_end;
                 if is_behind {
                     event!(
                         instance.source,
                         "log_behind",
                         topic = topic.name(),
-                        end = batch.end,
+                        era = batch.end.era,
+                        end = batch.end.offset,
                         log_end = batch.log_end
                     );
                 }
                 last_answer = instance.clock.now();
                 (is_lost, pause) = (false, FIRST_RETRY_PAUSE);
                 instance.apply(topic, batch.records, batch.end, whole);
+                let is_other_era = instance.ends()[topic as usize].era < batch.end.era;
                 // The newest records are shorter to read than all that were written since.
-                whole = is_behind;
-                if !is_behind {
+                whole = is_behind || is_other_era;
+                if !whole {
                     Timer::after(MIN_READ_INTERVAL).await;
                 }
             }
@@ -186,7 +201,8 @@
                         instance.source,
                         "log_lost",
                         topic = topic.name(),
-                        end = end,
+                        era = end.era,
+                        end = end.offset,
                         reason = format!("{error:?}"),
                         after_ms = elapsed_ms(instance, last_answer)
                     );
--- a/src/entry/fragment_record.rs
+++ b/src/entry/fragment_record.rs
@@ -95,7 +95,7 @@
     let fold = &folds[Topic::Instances as usize];
     let entries = fold.keys().filter_map(|key| {
         let fragment = fragment(key)?;
-        Some((fragment, is_banned(fold.value(key)?)))
+        Some((fragment, is_banned(fold.recorded(key)?)))
     });
     let mut fragments: Vec<(FragmentKey, bool)> = entries.collect();
     fragments.sort_unstable();
--- a/src/entry/heartbeat.rs
+++ b/src/entry/heartbeat.rs
@@ -3,8 +3,8 @@
 use serde::{Deserialize, Serialize};
 
 use super::quarantine::Report;
-use super::TargetKey;
-use crate::id::{DomainId, Incarnation, InstanceId, Offset};
+use super::{Position, TargetKey};
+use crate::id::{DomainId, Incarnation, InstanceId};
 
 /// What an instance has sent to one target and is still running.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
@@ -53,7 +53,7 @@
     /// Failure domain of the sender.
     pub domain: DomainId,
     /// Ends of the topics as known to the sender, in the order of `Topic::ALL`.
-    pub ends: [Offset; 3],
+    pub ends: [Position; 3],
     /// Number of the sender's process, drawn at its start.
     pub incarnation: Incarnation,
     /// Name of the sender.
@@ -76,6 +76,8 @@
     pub leaving: Vec<(TargetKey, Option<u64>)>,
     /// Topics that the sender reads from the log with success, in the order of `Topic::ALL`.
     pub reads: [bool; 3],
+    /// Version of the operator's configuration that the sender knows; 0 before the first one.
+    pub config: u64,
 }
 
 impl Heartbeat {
@@ -90,6 +92,7 @@
         };
         self.rows == before.rows
             && self.ends == before.ends
+            && self.config == before.config
             && self.fragments.repeats(&before.fragments)
             && self.leaving == before.leaving
             && self.reads == before.reads
--- a/src/entry/instance.rs
+++ b/src/entry/instance.rs
@@ -7,13 +7,10 @@
 use async_channel::{Receiver, Sender};
 use smol::LocalExecutor;
 
-use super::fragment_record;
-use super::member::Entry;
-use super::platform::{Decoder, Directive, Log, Notice, Targets, Topic};
+use super::platform::{Decoder, Log, Notice, Targets, Topic};
 use super::{
-    key, Budgets, ColdLimiter, Config, Directory, Engine, Fold, FragmentKey, Health, Load, Members,
-    Metrics, Pauses, Quarantine, Reachability, Record, Service, Settings, Slowdowns, Target,
-    TargetKey, View,
+    Budgets, ColdLimiter, Config, Directory, Engine, Fold, Health, Load, Members, Metrics, Pauses,
+    Quarantine, Reachability, Service, Settings, Slowdowns, Target, TargetKey, View,
 };
 use crate::clock::Clock;
 use crate::event;
@@ -22,10 +19,12 @@
 
 /// An entry instance: its state, and its connections to the platform.
 pub struct Instance {
+    /// Times at which the current eras of the topics became known.
+    pub(super) adopted: Cell<[Duration; 3]>,
     pub(super) budgets: RefCell<Budgets>,
     pub(super) clock: Arc<Clock>,
     pub(super) cold_limiter: RefCell<ColdLimiter>,
-    config: RefCell<Option<Rc<Config>>>,
+    pub(super) config: RefCell<Option<Rc<Config>>>,
     pub(super) decoder: Box<dyn Decoder>,
     pub(super) directory: RefCell<Directory>,
     /// Closed when requests in progress have to end; no value is ever sent.
@@ -34,6 +33,8 @@
     pub(super) folds: RefCell<[Fold; 3]>,
     pub(super) health: RefCell<Health>,
     heartbeat_requests: (Sender<()>, Receiver<()>),
+    /// Topics of which another instance has to be asked once what is not in the log.
+    pub(super) must_ask: Cell<[bool; 3]>,
     /// Topics that have to be read from the log once, because other instances did not pass them on.
     pub(super) must_read: Cell<[bool; 3]>,
     /// Topics that are read from the log with success.
@@ -47,6 +48,7 @@
     pub(super) quarantine: RefCell<Quarantine>,
     pub(super) reachability: RefCell<Reachability>,
     pub(super) settings: RefCell<Settings>,
+    sync_requests: (Sender<()>, Receiver<()>),
     pub(super) source: Source,
     pub(super) refusing: Cell<bool>,
     pub(super) stopping: Cell<bool>,
@@ -75,6 +77,7 @@
             settings.budget_window,
         );
         Ok(Rc::new(Instance {
+            adopted: Cell::default(),
             budgets: RefCell::new(budgets),
             cold_limiter: RefCell::default(),
             config: RefCell::default(),
@@ -85,6 +88,7 @@
             folds: RefCell::default(),
             health: RefCell::default(),
             heartbeat_requests: async_channel::bounded(1),
+            must_ask: Cell::default(),
             must_read: Cell::default(),
             reads: Cell::default(),
             incarnation: fastrand::u64(1..),
@@ -97,6 +101,7 @@
             quarantine: RefCell::default(),
             reachability: RefCell::default(),
             settings: RefCell::new(settings),
+            sync_requests: async_channel::bounded(1),
             refusing: Cell::new(false),
             stopping: Cell::new(false),
             tickets: Cell::new(0),
@@ -123,6 +128,18 @@
         let _ = self.heartbeat_requests.1.recv().await;
     }
 
+    /// Requests that the records of the instances are compared with the log.
+    pub(super) fn request_sync(&self) {
+        // If the channel is full, they are about to be compared anyway.
+        let _ = self.sync_requests.0.try_send(());
+    }
+
+    /// Waits until the comparison of the instances' records is requested.
+    pub(super) async fn sync_requested(&self) {
+        // The sender lives as long as the instance, so the channel is never closed.
+        let _ = self.sync_requests.1.recv().await;
+    }
+
     /// Whether the instance accepts callers: configuration and targets are known, and the process is not stopping.
     pub fn is_ready(&self) -> bool {
         !self.stopping.get() && self.config.borrow().is_some() && self.knows(Topic::Targets)
@@ -160,40 +177,6 @@
         &self.source
     }
 
-    /// Applies records of a topic from any source. `whole` tells that they are the whole state at `end`.
-    pub fn apply(&self, topic: Topic, records: Vec<Record>, end: u64, whole: bool) {
-        let changed = {
-            let fold = &mut self.folds.borrow_mut()[topic as usize];
-            if whole {
-                fold.replace(records, end)
-            } else {
-                let mut changed = Vec::new();
-                for record in records {
-                    changed.extend(fold.apply(record).cloned());
-                }
-                fold.advance(end);
-                changed
-            }
-        };
-        for record in changed {
-            match topic {
-                Topic::Instances => self.apply_instance(&record),
-                Topic::Operator => self.apply_directive(&record),
-                Topic::Targets => self.apply_target(&record),
-            }
-        }
-    }
-
-    /// Whether the state of a topic is known.
-    pub fn knows(&self, topic: Topic) -> bool {
-        self.folds.borrow()[topic as usize].is_known()
-    }
-
-    /// Ends of all topics, in the order of `Topic::ALL`.
-    pub(super) fn ends(&self) -> [u64; 3] {
-        Topic::ALL.map(|topic| self.folds.borrow()[topic as usize].end())
-    }
-
     /// The usable targets of a service and their load, without the `tried` ones. Targets that reached the limit for
     /// cold targets are returned but admit no request. Suspected targets are returned only if `all` is set, those that
     /// pause never.
@@ -359,129 +342,4 @@
         let banned = quarantine.all_banned();
         self.metrics.banned_fragments.set(banned.len() as i64);
     }
-
-    fn apply_instance(&self, record: &Record) {
-        if let Some(fragment) = fragment_record::fragment(&record.key) {
-            return self.apply_fragment(fragment, record);
-        }
-        let address = match &record.value {
-            None => None,
-            Some(value) => match rmp_serde::from_slice::<Entry>(value) {
-                Ok(entry) => Some(entry.address),
-                Err(error) => {
-                    return self.report_unreadable(Topic::Instances, record, &error.to_string())
-                }
-            },
-        };
-        self.members.borrow_mut().apply(&record.key, address);
-    }
-
-    /// Restricts a fragment that is recorded as suspected or banned. Its removal changes nothing: answers release a
-    /// fragment.
-    fn apply_fragment(&self, fragment: FragmentKey, record: &Record) {
-        let now = self.clock.now();
-        if let Some(value) = &record.value {
-            let is_banned = fragment_record::is_banned(value);
-            self.update_quarantine(|quarantine| quarantine.restore(fragment, is_banned, now));
-        }
-    }
-
-    fn apply_directive(&self, record: &Record) {
-        match self.decoder.directive(record) {
-            Ok(Some(Directive::Config(config, faults))) => {
-                for fault in &faults {
-                    self.report_unreadable(Topic::Operator, record, fault);
-                }
-                self.apply_config(*config);
-            }
-            Ok(Some(Directive::Evacuate(domain, evacuated))) => {
-                self.directory.borrow_mut().evacuate(&domain, evacuated);
-                event!(
-                    self.source,
-                    "evacuation",
-                    evacuated = evacuated,
-                    offset = record.offset,
-                    of = domain
-                );
-            }
-            Ok(None) => {}
-            Err(error) => self.report_unreadable(Topic::Operator, record, &error),
-        }
-    }
-
-    fn apply_config(&self, config: Config) {
-        let known = self
-            .config
-            .borrow()
-            .as_ref()
-            .map_or(0, |known| known.version);
-        if config.version <= known {
-            return;
-        }
-        event!(
-            self.source,
-            "config",
-            version = config.version,
-            before = known
-        );
-        self.metrics.config_version.set(config.version as i64);
-        *self.config.borrow_mut() = Some(Rc::new(config));
-    }
-
-    fn apply_target(&self, record: &Record) {
-        let now = self.clock.now();
-        let target = match &record.value {
-            None => None,
-            Some(_) => match self.decoder.target(record, now) {
-                Ok(target) => Some(target),
-                Err(error) => {
-                    self.report_unreadable(Topic::Targets, record, &error);
-                    None
-                }
-            },
-        };
-        let mut directory = self.directory.borrow_mut();
-        let started_unix_ms = |id: &str| {
-            directory
-                .target(id)
-                .and_then(|target| target.started_unix_ms)
-        };
-        if target
-            .as_ref()
-            .is_some_and(|target| started_unix_ms(&record.key) != target.started_unix_ms)
-        {
-            // The health of the old process says nothing about the new one.
-            self.health.borrow_mut().forget(key(&record.key));
-        }
-        let is_gone = target.is_none();
-        directory.apply(&record.key, target, now);
-        let state = match directory.target(&record.key) {
-            Some(target) if !is_gone && target.draining => "draining",
-            Some(target) if !is_gone && target.cold_until > now => "cold",
-            Some(_) if !is_gone => "ready",
-            Some(_) | None => "gone",
-        };
-        let domain = directory.target(&record.key).map(|target| &*target.domain);
-        event!(
-            self.source,
-            "target",
-            target = record.key.as_str(),
-            offset = record.offset,
-            of = domain,
-            state = state
-        );
-        self.metrics.targets.set(directory.targets().count() as i64);
-    }
-
-    fn report_unreadable(&self, topic: Topic, record: &Record, error: &str) {
-        event!(
-            warn,
-            self.source,
-            "record_unreadable",
-            topic = topic.name(),
-            key = record.key.as_str(),
-            offset = record.offset,
-            error = error
-        );
-    }
 }
--- a/src/entry/member.rs
+++ b/src/entry/member.rs
@@ -5,8 +5,8 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::platform::Topic;
-use super::Heartbeat;
-use crate::id::{DomainId, Incarnation, InstanceId, Offset};
+use super::{Heartbeat, Position};
+use crate::id::{DomainId, Incarnation, InstanceId};
 
 /// Time without a heartbeat after which an instance counts as unreachable: several lost heartbeats at the lowest rate.
 const HEARTBEAT_TIMEOUT: Duration = Duration::from_secs(2);
@@ -34,10 +34,12 @@
 pub struct Member {
     /// Address for heartbeats and transfers.
     pub address: SocketAddr,
+    /// Version of the operator's configuration that it knows; 0 before the first one.
+    pub config: u64,
     /// Failure domain; empty before its first heartbeat.
     pub domain: DomainId,
     /// Ends of the topics that it knows, in the order of `Topic::ALL`.
-    pub ends: [Offset; 3],
+    pub ends: [Position; 3],
     /// Number of its process, drawn at the start.
     pub incarnation: Incarnation,
     /// Name.
@@ -102,8 +104,9 @@
                 at,
                 Member {
                     address,
+                    config: 0,
                     domain: DomainId::new(),
-                    ends: [0; 3],
+                    ends: [Position::default(); 3],
                     incarnation: 0,
                     instance: instance.to_owned(),
                     last_heartbeat: None,
@@ -128,6 +131,7 @@
             let member = &mut self.list[at];
             member.domain.clone_from(&heartbeat.domain);
             member.reads = heartbeat.reads;
+            member.config = heartbeat.config;
             member.ends = heartbeat.ends;
             member.last_heartbeat = Some(now);
             member.incarnation = heartbeat.incarnation;
@@ -165,7 +169,7 @@
     pub fn ahead(
         &self,
         topic: Topic,
-        end: Offset,
+        end: Position,
         now: Duration,
         domain: &str,
         turn: usize,
@@ -183,6 +187,20 @@
         ahead().nth(turn.checked_rem(ahead().count())?)
     }
 
+    /// A live instance that knows a later version of the configuration, although it may not have read more of the log:
+    /// the log may have come back from a copy without that version.
+    pub fn configured(&self, version: u64, now: Duration, turn: usize) -> Option<&Member> {
+        let later = || self.live(now).filter(|member| member.config > version);
+        later().nth(turn.checked_rem(later().count())?)
+    }
+
+    /// A live instance that knows a topic, to ask for what is not in the log.
+    pub fn informed(&self, topic: Topic, now: Duration, turn: usize) -> Option<&Member> {
+        let knows = |member: &&Member| member.ends[topic as usize] > Position::default();
+        let informed = || self.live(now).filter(knows);
+        informed().nth(turn.checked_rem(informed().count())?)
+    }
+
     /// Whether this instance, in the failure domain `domain`, reads a topic from the log itself: unless enough live
     /// instances there with a higher hash do so with success. `bound` is the time within which changes have to be known.
     pub fn is_reader(&self, topic: Topic, domain: &str, bound: Duration, now: Duration) -> bool {
--- a/src/entry/metric.rs
+++ b/src/entry/metric.rs
@@ -22,6 +22,8 @@
     pub heartbeats: IntCounter,
     /// Calls to the log by topic and outcome.
     pub log_calls: IntCounterVec,
+    /// Returns of the log from an older copy, by topic.
+    pub log_restores: IntCounterVec,
     /// Tasks that ended by a panic, by what they did.
     pub panics: IntCounterVec,
     registry: Registry,
@@ -81,6 +83,12 @@
                 "Calls to the log.",
                 &["topic", "outcome"],
             )?,
+            log_restores: counters(
+                r,
+                "entry_log_restores_total",
+                "Returns of the log from an older copy.",
+                &["topic"],
+            )?,
             target_ends: counter(
                 r,
                 "entry_target_ends_total",
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -6,6 +6,7 @@
 //! decisions without a socket. `docs/notes/platform.md` describes the parts and what each does when another one fails.
 
 mod answer;
+mod apply;
 mod backlog;
 mod budgets;
 mod cold;
@@ -29,6 +30,7 @@
 mod pick;
 mod place;
 pub mod platform;
+mod position;
 mod probe;
 pub mod proof;
 pub mod quarantine;
@@ -41,6 +43,7 @@
 mod settings;
 mod slowdown;
 mod stop;
+mod transfer;
 mod view;
 
 pub use answer::{Answer, Content};
@@ -52,7 +55,7 @@
 pub use engine::Engine;
 pub use events::Events;
 pub use fanout::Fanout;
-pub use fold::{Fold, Guards, Record};
+pub use fold::{Fold, Guards, Rank, Record};
 pub use health::Health;
 pub use heartbeat::{Heartbeat, Prefill, Row};
 pub use instance::Instance;
@@ -64,6 +67,7 @@
 pub use place::{
     place, place_held, survey, unseen_requests, Choice, Helper, Placement, Requirements, Survey,
 };
+pub use position::Position;
 pub use quarantine::Quarantine;
 pub use reachability::Reachability;
 pub use relay::Relay;
--- a/src/entry/peer.rs
+++ b/src/entry/peer.rs
@@ -1,19 +1,15 @@
-use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use futures_lite::future::or;
-use futures_lite::{AsyncReadExt, AsyncWriteExt};
-use serde::{de::DeserializeOwned, Deserialize, Serialize};
-use smol::net::{TcpListener, TcpStream, UdpSocket};
+use smol::net::{TcpListener, UdpSocket};
 use smol::Timer;
 
 use super::platform::{LocalBoxFuture, Topic};
-use super::{Fanout, Heartbeat, Instance, Member, Record};
+use super::{transfer, Fanout, Heartbeat, Instance};
 use crate::event;
-use crate::id::Offset;
 
 /// Time between two heartbeats of an instance alone.
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(40);
@@ -24,15 +20,6 @@
 /// Time between two heartbeats while nothing changes.
 const IDLE_INTERVAL: Duration = Duration::from_millis(400);
 
-/// Time for which another instance has to be ahead before its records are fetched; usually the log delivers them first.
-const FETCH_DELAY: Duration = Duration::from_millis(250);
-
-/// Maximum time of a transfer between instances; it takes milliseconds unless a link is broken.
-const FETCH_TIMEOUT: Duration = Duration::from_millis(800);
-
-/// Maximum size of a transfer.
-const MAX_FETCH_BYTES: usize = 32 << 20;
-
 /// Maximum size of a datagram; fits the rows of over a thousand targets.
 const MAX_DATAGRAM_BYTES: usize = 60 << 10;
 
@@ -42,21 +29,11 @@
 /// First byte of a datagram whose heartbeat is read and passed on to the live instances of the receiver's failure domain.
 const PASS_ON: u8 = 1;
 
-/// Request for the records of a topic from an offset on.
-#[derive(Debug, Deserialize, Serialize)]
-struct Fetch {
-    from: Offset,
-    topic: usize,
-}
+/// Second byte of a datagram: format of the heartbeat that follows.
+const FORMAT: u8 = 1;
 
-/// Answer to a [`Fetch`].
-#[derive(Debug, Deserialize, Serialize)]
-struct Fetched {
-    end: Offset,
-    records: Vec<Record>,
-    /// Whether the records are the whole state: keys that it lacks were removed.
-    whole: bool,
-}
+/// Maximum number of senders of another format that are remembered, to report each only once.
+const MAX_FOREIGN: usize = 1_024;
 
 /// Starts exchanging heartbeats and records with other instances.
 pub(super) async fn start(instance: &Rc<Instance>) -> io::Result<()> {
@@ -68,9 +45,9 @@
         Box::pin(send_heartbeats(instance.clone(), socket.clone())) as LocalBoxFuture<'static, ()>
     );
     spawn(Box::pin(receive_heartbeats(instance.clone(), socket)));
-    spawn(Box::pin(serve_fetches(instance.clone(), listener)));
+    spawn(Box::pin(transfer::serve(instance.clone(), listener)));
     for topic in Topic::ALL {
-        spawn(Box::pin(catch_up(instance.clone(), topic)));
+        spawn(Box::pin(transfer::catch_up(instance.clone(), topic)));
     }
     Ok(())
 }
@@ -86,6 +63,7 @@
         or(pause, instance.heartbeat_requested()).await;
         let now = instance.clock.now();
         instance.expire(now);
+        instance.settle();
         let mut heartbeat = heartbeat(&instance, now);
         let is_idle = heartbeat.repeats(&last) && now < sent + IDLE_INTERVAL;
         if is_idle {
@@ -110,7 +88,7 @@
 
 /// A heartbeat in a datagram that is not passed on.
 fn encode(heartbeat: &Heartbeat) -> Result<Vec<u8>, rmp_serde::encode::Error> {
-    let mut datagram = vec![READ_ONLY];
+    let mut datagram = vec![READ_ONLY, FORMAT];
     rmp_serde::encode::write(&mut datagram, heartbeat)?;
     Ok(datagram)
 }
@@ -180,6 +158,7 @@
     Heartbeat {
         address: Some(settings.peer_address()),
         domain: settings.domain.clone(),
+        config: instance.known_config(),
         ends: instance.ends(),
         incarnation: instance.incarnation,
         instance: settings.instance.clone(),
@@ -206,6 +185,7 @@
 
 async fn receive_heartbeats(instance: Rc<Instance>, socket: Rc<UdpSocket>) {
     let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
+    let mut foreign = Vec::new();
     loop {
         let (length, from) = match socket.recv_from(&mut buffer).await {
             Ok(received) => received,
@@ -220,9 +200,13 @@
                 continue;
             }
         };
-        let Some((way, bytes)) = buffer[..length].split_first() else {
+        let [way, format, bytes @ ..] = &buffer[..length] else {
             continue;
         };
+        if *format != FORMAT {
+            report_foreign(&instance, &mut foreign, from, *format);
+            continue;
+        }
         match rmp_serde::from_slice::<Heartbeat>(bytes) {
             Ok(heartbeat) => receive(&instance, &heartbeat, from),
             Err(error) => {
@@ -245,6 +229,28 @@
     }
 }
 
+/// Reports a sender of another format, once.
+fn report_foreign(
+    instance: &Instance,
+    foreign: &mut Vec<SocketAddr>,
+    from: SocketAddr,
+    format: u8,
+) {
+    let Err(at) = foreign.binary_search(&from) else {
+        return;
+    };
+    if foreign.len() < MAX_FOREIGN {
+        foreign.insert(at, from);
+    }
+    event!(
+        warn,
+        instance.source,
+        "beat_foreign",
+        from = from.to_string(),
+        format = u64::from(format)
+    );
+}
+
 /// Addresses of the live instances of this failure domain.
 fn neighbors(instance: &Instance) -> Vec<SocketAddr> {
     let (members, settings) = (instance.members.borrow(), instance.settings.borrow());
@@ -289,165 +295,3 @@
         health.receive(*target, Duration::from_millis(u64::from(*left)), now);
     }
 }
-
-/// Fetches records of a topic from another instance while the log does not deliver them.
-async fn catch_up(instance: Rc<Instance>, topic: Topic) {
-    let at = topic as usize;
-    let mut behind: Option<Duration> = None;
-    // Instances start at different members, so that they do not all fetch from the same one.
-    let mut turn = fastrand::usize(..);
-    loop {
-        Timer::after(FETCH_DELAY / 2).await;
-        let now = instance.clock.now();
-        let end = instance.ends()[at];
-        let member = {
-            let members = instance.members.borrow();
-            let settings = instance.settings.borrow();
-            let ahead = members.ahead(topic, end, now, &settings.domain, turn);
-            ahead.cloned()
-        };
-        let Some(member) = member else {
-            behind = None;
-            continue;
-        };
-        let since = *behind.get_or_insert(now);
-        let delay = match instance.is_reader(topic) {
-            true => FETCH_DELAY,
-            false => Duration::ZERO,
-        };
-        if now >= since + delay {
-            if !fetch(&instance, topic, end, &member).await {
-                instance.must_read(topic);
-            }
-            // A member whose heartbeats arrive may still be unreachable from here.
-            turn = turn.wrapping_add(1);
-        }
-    }
-}
-
-/// Fetches the records of a topic from `end` on and applies them; false if that failed.
-async fn fetch(instance: &Instance, topic: Topic, end: Offset, member: &Member) -> bool {
-    let from = if instance.knows(topic) { end } else { 0 };
-    let request = Fetch {
-        from,
-        topic: topic as usize,
-    };
-    match fetch_from(member.address, &request).await {
-        Ok(fetched) => {
-            event!(
-                instance.source,
-                "fetched",
-                topic = topic.name(),
-                from = member.instance.as_str(),
-                before = end,
-                end = fetched.end,
-                records = fetched.records.len(),
-                whole = fetched.whole
-            );
-            instance.apply(topic, fetched.records, fetched.end, fetched.whole);
-            true
-        }
-        Err(error) => {
-            event!(
-                warn,
-                instance.source,
-                "fetch_failed",
-                topic = topic.name(),
-                from = member.instance.as_str(),
-                error = error.to_string()
-            );
-            false
-        }
-    }
-}
-
-async fn fetch_from(address: SocketAddr, fetch: &Fetch) -> io::Result<Fetched> {
-    let exchange = async {
-        let mut stream = TcpStream::connect(address).await?;
-        write(&mut stream, fetch).await?;
-        read(&mut stream).await
-    };
-    with_timeout(exchange).await
-}
-
-/// Fails an exchange that takes too long.
-async fn with_timeout<T>(exchange: impl Future<Output = io::Result<T>>) -> io::Result<T> {
-    let limit = async {
-        Timer::after(FETCH_TIMEOUT).await;
-        Err(io::ErrorKind::TimedOut.into())
-    };
-    or(exchange, limit).await
-}
-
-async fn serve_fetches(instance: Rc<Instance>, listener: TcpListener) {
-    loop {
-        match listener.accept().await {
-            Ok((stream, from)) => {
-                let spawner = instance.clone();
-                let instance = instance.clone();
-                let task = async move {
-                    if let Err(error) = answer_fetch(&instance, stream).await {
-                        event!(
-                            warn,
-                            instance.source,
-                            "transfer_failed",
-                            to = from.to_string(),
-                            error = error.to_string()
-                        );
-                    }
-                };
-                spawner.spawn("transfer", task);
-            }
-            Err(error) => {
-                event!(
-                    warn,
-                    instance.source,
-                    "transfer_failed",
-                    error = error.to_string()
-                );
-                Timer::after(FETCH_DELAY).await;
-            }
-        }
-    }
-}
-
-async fn answer_fetch(instance: &Instance, mut stream: TcpStream) -> io::Result<()> {
-    let exchange = async {
-        let fetch: Fetch = read(&mut stream).await?;
-        let fetched = {
-            let folds = instance.folds.borrow();
-            let fold = folds.get(fetch.topic).ok_or(io::ErrorKind::InvalidData)?;
-            if !fold.is_known() {
-                return Err(io::ErrorKind::NotFound.into());
-            }
-            let since = fold.since(fetch.from);
-            Fetched {
-                end: fold.end(),
-                whole: since.is_none(),
-                records: since.unwrap_or_else(|| fold.state()),
-            }
-        };
-        write(&mut stream, &fetched).await
-    };
-    with_timeout(exchange).await
-}
-
-async fn read<T: DeserializeOwned>(stream: &mut TcpStream) -> io::Result<T> {
-    let mut length = [0; 4];
-    stream.read_exact(&mut length).await?;
-    let length = u32::from_be_bytes(length) as usize;
-    if length > MAX_FETCH_BYTES {
-        return Err(io::ErrorKind::InvalidData.into());
-    }
-    let mut bytes = vec![0; length];
-    stream.read_exact(&mut bytes).await?;
-    rmp_serde::from_slice(&bytes).map_err(io::Error::other)
-}
-
-async fn write(stream: &mut TcpStream, message: &impl Serialize) -> io::Result<()> {
-    let bytes = rmp_serde::to_vec(message).map_err(io::Error::other)?;
-    let mut frame = (bytes.len() as u32).to_be_bytes().to_vec();
-    frame.extend_from_slice(&bytes);
-    stream.write_all(&frame).await?;
-    stream.flush().await
-}
--- a/src/entry/platform.rs
+++ b/src/entry/platform.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use http::{HeaderMap, StatusCode};
 
-use super::{Config, Record, Request, Target};
+use super::{Config, Position, Rank, Record, Request, Target};
 use crate::id::{DomainId, Offset, WorkspaceId};
 
 /// A boxed future that is not `Send`.
@@ -196,9 +196,9 @@
 /// Records read from the log.
 #[derive(Clone, Debug, Default)]
 pub struct Batch {
-    /// Offset after the last record that was read.
-    pub end: Offset,
-    /// Offset after the last record of the topic when it was read.
+    /// Position after the last record that was read.
+    pub end: Position,
+    /// Offset after the last record of the topic when it was read, in the era of `end`.
     pub log_end: Offset,
     /// Records in order of offset.
     pub records: Vec<Record>,
@@ -223,7 +223,8 @@
     /// Appends a record about this instance.
     fn put(&self, key: &str, value: &[u8]) -> LocalBoxFuture<'_, Result<(), LogError>>;
 
-    /// The records from an offset on, as soon as there is one or `wait` has passed.
+    /// The records from an offset on, as soon as there is one or `wait` has passed. The answer states their era, which
+    /// may be another one than that from which the offset is known.
     fn read(
         &self,
         topic: Topic,
@@ -249,6 +250,9 @@
     /// Returns what is malformed.
     fn directive(&self, record: &Record) -> Result<Option<Directive>, String>;
 
+    /// The order of a record's value among those of its key, if the writer gave it one.
+    fn rank(&self, topic: Topic, record: &Record) -> Option<Rank>;
+
     /// Decodes the record of a target; its times are relative to `now`.
     ///
     /// # Errors
--- a/src/entry/reader.rs
+++ b/src/entry/reader.rs
@@ -44,6 +44,21 @@
         is_set
     }
 
+    /// Requests that another instance is asked once what it knows of a topic and the log lacks.
+    pub(super) fn ask(&self, topic: Topic) {
+        set(&self.must_ask, topic, true);
+    }
+
+    /// Whether another instance has to be asked for a topic.
+    pub(super) fn has_to_ask(&self, topic: Topic) -> bool {
+        self.must_ask.get()[topic as usize]
+    }
+
+    /// Notes that another instance was asked for a topic.
+    pub(super) fn set_asked(&self, topic: Topic) {
+        set(&self.must_ask, topic, false);
+    }
+
     /// Records whether a topic is read from the log with success.
     pub(super) fn set_reads(&self, topic: Topic, reads: bool) {
         set(&self.reads, topic, reads);
--- a/src/id/mod.rs
+++ b/src/id/mod.rs
@@ -6,6 +6,9 @@
 /// Name of a failure domain.
 pub type DomainId = String;
 
+/// Number of a history of the log: it rises each time the log comes back from an older copy of itself.
+pub type Era = u64;
+
 /// Fencing number: the log offset at which a controller lease was recorded.
 pub type Fence = u64;
 
--- a/tests/entry_core/mod.rs
+++ b/tests/entry_core/mod.rs
@@ -9,7 +9,7 @@
     Batch, Decoder, Directive, LocalBoxFuture, Log, LogError, Targets, Topic,
 };
 use jujubehook::entry::{
-    Config, Instance, Limits, Record, Route, RouteKind, Service, Settings, Target,
+    Config, Instance, Limits, Position, Rank, Record, Route, RouteKind, Service, Settings, Target,
 };
 use smol::LocalExecutor;
 
@@ -29,10 +29,15 @@
         targets,
     )
     .expect("an instance");
-    instance.apply(Topic::Operator, vec![record("config".into(), 0)], 1, true);
+    instance.apply(
+        Topic::Operator,
+        vec![record("config".into(), 0)],
+        at(1),
+        true,
+    );
     let records = (0..).zip(ids).map(|(offset, id)| record(id, offset));
     let records: Vec<Record> = records.collect();
-    let end = records.len() as u64;
+    let end = at(records.len() as u64);
     instance.apply(Topic::Targets, records, end, true);
     (instance, executor)
 }
@@ -89,6 +94,10 @@
         Ok(Some(Directive::Config(Box::new(config), Vec::new())))
     }
 
+    fn rank(&self, _: Topic, _: &Record) -> Option<Rank> {
+        None
+    }
+
     fn target(&self, record: &Record, _: Duration) -> Result<Target, String> {
         Ok(target(&record.key, "local"))
     }
@@ -97,7 +106,13 @@
 fn record(key: String, offset: u64) -> Record {
     Record {
         key,
-        offset,
+        position: at(offset),
+        rank: None,
         value: Some(Vec::new()),
     }
 }
+
+/// Position in a log that was never restored from a copy.
+pub(crate) fn at(offset: u64) -> Position {
+    Position::new(0, offset)
+}
--- a/tests/entry_fold.rs
+++ b/tests/entry_fold.rs
@@ -1,15 +1,21 @@
 //! Guards against keys that return to an older value, regardless of the order and source of records.
 
-use jujubehook::entry::{Fold, Record};
+use jujubehook::entry::{Fold, Position, Record};
 
 fn record(key: &str, offset: u64, value: Option<&str>) -> Record {
     Record {
         key: key.into(),
-        offset,
+        position: at(offset),
+        rank: None,
         value: value.map(|value| value.as_bytes().to_vec()),
     }
 }
 
+/// Position in a log that was never restored from a copy.
+fn at(offset: u64) -> Position {
+    Position::new(0, offset)
+}
+
 /// A slow answer, or one from an instance that is behind, delivers an older value after a newer one.
 #[test]
 fn older_is_ignored() {
@@ -17,7 +23,7 @@
     assert!(fold.apply(record("config", 7, Some("new"))).is_some());
     assert!(fold.apply(record("config", 3, Some("old"))).is_none());
     assert_eq!(fold.value("config"), Some(&b"new"[..]));
-    assert_eq!(fold.end(), 8);
+    assert_eq!(fold.end(), at(8));
 }
 
 /// When the log no longer keeps an instance's offset, the whole state shows which keys were removed.
@@ -26,9 +32,9 @@
     let mut fold = Fold::default();
     fold.replace(
         vec![record("a", 1, Some("1")), record("b", 2, Some("2"))],
-        3,
+        at(3),
     );
-    let changed = fold.replace(vec![record("b", 2, Some("2"))], 9);
+    let changed = fold.replace(vec![record("b", 2, Some("2"))], at(9));
     assert_eq!(changed.len(), 1);
     assert_eq!((changed[0].key.as_str(), &changed[0].value), ("a", &None));
 }
@@ -37,11 +43,13 @@
 #[test]
 fn stale_state_removes_nothing() {
     let mut fold = Fold::default();
-    fold.replace(vec![record("a", 1, Some("1"))], 2);
+    fold.replace(vec![record("a", 1, Some("1"))], at(2));
     fold.apply(record("b", 5, Some("2")));
-    assert!(fold.replace(vec![record("a", 1, Some("1"))], 3).is_empty());
+    assert!(fold
+        .replace(vec![record("a", 1, Some("1"))], at(3))
+        .is_empty());
     assert!(fold.value("b").is_some());
-    assert_eq!(fold.end(), 6);
+    assert_eq!(fold.end(), at(6));
 }
 
 /// A removal must win over the value that it removed, even if that value arrives later from another instance.
@@ -52,7 +60,7 @@
     fold.apply(record("a", 4, None));
     assert!(fold.apply(record("a", 1, Some("1"))).is_none());
     assert_eq!(fold.value("a"), None);
-    assert_eq!(fold.since(0), Some(vec![record("a", 4, None)]));
+    assert_eq!(fold.since(at(0)), Some(vec![record("a", 4, None)]));
 }
 
 /// An instance that starts after a removal does not know of it. What it passes on must still remove the key at an
@@ -62,13 +70,13 @@
     let mut early = Fold::default();
     early.replace(
         vec![record("a", 1, Some("1")), record("b", 2, Some("2"))],
-        3,
+        at(3),
     );
     // `a` is removed at offset 3, and `c` is added at offset 4.
     let mut late = Fold::default();
-    late.replace(vec![record("b", 2, Some("2"))], 4);
+    late.replace(vec![record("b", 2, Some("2"))], at(4));
     late.apply(record("c", 4, Some("3")));
-    late.advance(5);
+    late.advance(at(5));
     assert_eq!(late.since(early.end()), None);
     early.replace(late.state(), late.end());
     assert_eq!(early.value("a"), None);
@@ -79,8 +87,10 @@
 #[test]
 fn stale_state_brings_nothing_back() {
     let mut fold = Fold::default();
-    fold.replace(Vec::new(), 2);
-    assert!(fold.replace(vec![record("a", 0, Some("1"))], 1).is_empty());
+    fold.replace(Vec::new(), at(2));
+    assert!(fold
+        .replace(vec![record("a", 0, Some("1"))], at(1))
+        .is_empty());
     assert_eq!(fold.value("a"), None);
 }
 
@@ -92,12 +102,12 @@
     // `a` changes at offset 2 and `b` at offset 3, after the first page and before the second one.
     fold.replace(
         vec![record("a", 0, Some("old")), record("b", 3, Some("new"))],
-        2,
+        at(2),
     );
-    assert_eq!(fold.end(), 2);
+    assert_eq!(fold.end(), at(2));
     fold.apply(record("a", 2, Some("new")));
     fold.apply(record("b", 3, Some("new")));
-    fold.advance(4);
+    fold.advance(at(4));
     assert_eq!(fold.value("a"), Some(&b"new"[..]));
     assert_eq!(fold.value("b"), Some(&b"new"[..]));
 }
@@ -106,8 +116,8 @@
 #[test]
 fn later_page_is_kept() {
     let mut fold = Fold::default();
-    fold.replace(vec![record("b", 3, Some("new"))], 2);
-    assert!(fold.replace(Vec::new(), 3).is_empty());
+    fold.replace(vec![record("b", 3, Some("new"))], at(2));
+    assert!(fold.replace(Vec::new(), at(3)).is_empty());
     assert!(fold.value("b").is_some());
 }
 
@@ -119,9 +129,9 @@
     for offset in 0..removals {
         fold.apply(record(&offset.to_string(), offset, None));
     }
-    fold.advance(removals);
-    assert_eq!(fold.since(0), None);
-    let last = fold.since(removals - 1).expect("the last removal");
+    fold.advance(at(removals));
+    assert_eq!(fold.since(at(0)), None);
+    let last = fold.since(at(removals - 1)).expect("the last removal");
     assert_eq!(last.len(), 1);
 }
 
@@ -135,25 +145,25 @@
             let mut log: Vec<Record> = Vec::new();
             let mut folds = vec![Fold::default(); 3];
             for &(act, by) in steps {
-                let at = usize::from(by) % folds.len();
+                let to = usize::from(by) % folds.len();
                 match act % 8 {
                     0..=2 => log.push(next_record(&log, by)),
-                    3 | 4 if folds[at].is_known() => {
-                        let from = folds[at].end() as usize;
+                    3 | 4 if folds[to].is_known() => {
+                        let from = folds[to].end().offset as usize;
                         for record in &log[from..] {
-                            folds[at].apply(record.clone());
+                            folds[to].apply(record.clone());
                         }
-                        folds[at].advance(log.len() as u64);
+                        folds[to].advance(at(log.len() as u64));
                     }
                     3..=5 => {
-                        folds[at] = Fold::default();
+                        folds[to] = Fold::default();
                         let state = state_at(&log, log.len());
-                        folds[at].replace(state, log.len() as u64);
+                        folds[to].replace(state, at(log.len() as u64));
                     }
-                    _ => pass_on(&mut folds, at, usize::from(by / 16) % 3),
+                    _ => pass_on(&mut folds, to, usize::from(by / 16) % 3),
                 }
                 for fold in folds.iter().filter(|fold| fold.is_known()) {
-                    let state = state_at(&log, fold.end() as usize);
+                    let state = state_at(&log, fold.end().offset as usize);
                     for key in ["a", "b", "c"] {
                         let record = state.iter().find(|record| record.key == key);
                         let value = record.and_then(|record| record.value.as_deref());
@@ -186,7 +196,7 @@
     let (giver, end) = (folds[from].clone(), folds[from].end());
     let start = match folds[to].is_known() {
         true => folds[to].end(),
-        false => 0,
+        false => at(0),
     };
     match giver.since(start) {
         Some(records) => {
@@ -205,11 +215,6 @@
 #[test]
 fn largest_offset() {
     let mut fold = Fold::default();
-    let record = Record {
-        key: "a".into(),
-        offset: u64::MAX,
-        value: Some(vec![1]),
-    };
-    assert!(fold.apply(record).is_some());
-    assert_eq!(fold.end(), u64::MAX);
+    assert!(fold.apply(record("a", u64::MAX, Some("1"))).is_some());
+    assert_eq!(fold.end(), at(u64::MAX));
 }
--- a/tests/entry_members.rs
+++ b/tests/entry_members.rs
@@ -8,7 +8,7 @@
 
 use entry_fixtures::ms;
 use jujubehook::entry::platform::Topic;
-use jujubehook::entry::{Heartbeat, Members};
+use jujubehook::entry::{Heartbeat, Members, Position};
 
 /// A bound that leaves time to notice the end of a reader.
 const BOUND: Duration = Duration::from_secs(4);
@@ -144,14 +144,14 @@
     for (instance, domain, end) in [("b", "south", 9), ("c", "north", 5), ("d", "south", 9)] {
         let heartbeat = Heartbeat {
             domain: domain.into(),
-            ends: [end; 3],
+            ends: [Position::new(0, end); 3],
             instance: instance.into(),
             ..Heartbeat::default()
         };
         members.receive(&heartbeat, address(), ms(1));
     }
     let ahead = |end, turn| {
-        let member = members.ahead(Topic::Targets, end, ms(2), "north", turn);
+        let member = members.ahead(Topic::Targets, Position::new(0, end), ms(2), "north", turn);
         member.map(|member| member.instance.as_str())
     };
     assert_eq!([ahead(4, 0), ahead(4, 1)], [Some("c"), Some("c")]);
--- a/tests/entry_memory.rs
+++ b/tests/entry_memory.rs
@@ -8,6 +8,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use entry_core::at;
 use jujubehook::entry::platform::{
     Call, Failure, LocalBoxFuture, Notice, Ordered, Presence, Reply, Targets, Topic,
 };
@@ -151,9 +152,9 @@
     check(engines, |instance| {
         let records = (0..ENGINES).map(|number| Record {
             key: format!("i-{number}"),
-            offset: ENGINES + number,
-            value: None,
+            position: at(ENGINES + number),
+            ..Record::default()
         });
-        instance.apply(Topic::Targets, records.collect(), 2 * ENGINES, false);
+        instance.apply(Topic::Targets, records.collect(), at(2 * ENGINES), false);
     });
 }
--- a/tests/entry_metrics.rs
+++ b/tests/entry_metrics.rs
@@ -20,6 +20,7 @@
         .log_calls
         .with_label_values(&["operator", "ok"])
         .inc();
+    metrics.log_restores.with_label_values(&["operator"]).inc();
     let page = String::from_utf8(metrics.text()).unwrap();
     let types = page.lines().filter_map(|line| line.strip_prefix("# TYPE "));
     let names: BTreeSet<&str> = types.filter_map(|line| line.split(' ').next()).collect();
--- a/tests/entry_release.rs
+++ b/tests/entry_release.rs
@@ -12,6 +12,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
+use entry_core::at;
 use entry_fixtures::ms;
 use futures_lite::future::or;
 use http::{HeaderMap, StatusCode};
@@ -332,11 +333,11 @@
     let records: Vec<Record> = records
         .map(|(offset, key)| Record {
             key,
-            offset,
-            value: None,
+            position: at(offset),
+            ..Record::default()
         })
         .collect();
-    let end = ENGINES + records.len() as u64;
+    let end = at(ENGINES + records.len() as u64);
     instance.apply(Topic::Targets, records, end, false);
 }
 
--- a/tests/entry_view.rs
+++ b/tests/entry_view.rs
@@ -3,7 +3,7 @@
 mod entry_fixtures;
 
 use entry_fixtures::ms;
-use jujubehook::entry::{Heartbeat, Load, Prefill, Row, View, Work};
+use jujubehook::entry::{Heartbeat, Load, Position, Prefill, Row, View, Work};
 
 fn work(primary: u32) -> Work {
     Work {
@@ -131,7 +131,7 @@
     let mut view = View::default();
     for instance in ["a", "b"] {
         let heartbeat = Heartbeat {
-            ends: [u64::MAX; 3],
+            ends: [Position::new(u64::MAX, u64::MAX); 3],
             instance: instance.into(),
             prefills: vec![Prefill {
                 age_ms: u32::MAX,
