--- a/src/entry/apply.rs
+++ b/src/entry/apply.rs
@@ -62,6 +62,7 @@
     /// Applies what another instance knows of a topic.
     pub(super) fn merge(&self, topic: Topic, fetched: Fetched) {
         let Fetched {
+            age_ms,
             mut carried,
             end,
             records,
@@ -71,6 +72,9 @@
             carried.extend(records);
         } else {
             self.apply(topic, records, end, whole);
+            if end.era == self.ends()[topic as usize].era {
+                self.note_age(topic, Duration::from_millis(age_ms));
+            }
         }
         let age = self.era_age(topic);
         carried.retain(|record| stays(topic, record, age));
@@ -106,11 +110,21 @@
         rank.map_or(0, |(version, _)| version)
     }
 
-    fn era_age(&self, topic: Topic) -> Duration {
+    /// Time for which the current era of a topic has been known, here or at another instance.
+    pub(super) fn era_age(&self, topic: Topic) -> Duration {
         let adopted = self.adopted.get()[topic as usize];
         self.clock.now().saturating_sub(adopted)
     }
 
+    /// Notes that the current era of a topic was known elsewhere for `age`. An instance that was cut off learns of it late,
+    /// when lost records are written already.
+    fn note_age(&self, topic: Topic, age: Duration) {
+        let mut adopted = self.adopted.get();
+        let earlier = self.clock.now().saturating_sub(age);
+        adopted[topic as usize] = adopted[topic as usize].min(earlier);
+        self.adopted.set(adopted);
+    }
+
     /// Notes that a topic has a new era, in which `before` has no meaning.
     fn begin_era(&self, topic: Topic, before: Position, was_known: bool) {
         let mut adopted = self.adopted.get();
--- a/src/entry/transfer.rs
+++ b/src/entry/transfer.rs
@@ -35,6 +35,8 @@
 /// Answer to a [`Fetch`].
 #[derive(Debug, Deserialize, Serialize)]
 pub(super) struct Fetched {
+    /// Time for which the sender has known the era of `end`, in milliseconds.
+    pub(super) age_ms: u64,
     /// Records of earlier eras that are in force.
     pub(super) carried: Vec<Record>,
     pub(super) end: Position,
@@ -201,11 +203,13 @@
         let fetched = {
             let folds = instance.folds.borrow();
             let fold = folds.get(fetch.topic).ok_or(io::ErrorKind::InvalidData)?;
+            let age = instance.era_age(Topic::ALL[fetch.topic]);
             if !fold.is_known() {
                 return Err(io::ErrorKind::NotFound.into());
             }
             let since = fold.since(fetch.from);
             Fetched {
+                age_ms: age.as_millis() as u64,
                 carried: fold.carried().to_vec(),
                 end: fold.end(),
                 whole: since.is_none(),
--- a/tests/entry_members.rs
+++ b/tests/entry_members.rs
@@ -159,6 +159,48 @@
     assert_eq!(ahead(9, 0), None);
 }
 
+/// An instance that read an older copy of the log to its end asks nobody for a version that others know.
+#[test]
+fn config_of_others() {
+    let mut members = Members::new("a");
+    for (instance, config) in [("b", 4), ("c", 7), ("d", 7)] {
+        let heartbeat = Heartbeat {
+            config,
+            ends: [Position::new(1, 9); 3],
+            instance: instance.into(),
+            ..Heartbeat::default()
+        };
+        members.receive(&heartbeat, address(), ms(1));
+    }
+    let later = |version, turn| {
+        let member = members.configured(version, ms(2), turn);
+        member.map(|member| member.instance.as_str())
+    };
+    assert_eq!([later(4, 0), later(4, 1)], [Some("c"), Some("d")]);
+    assert_eq!(later(7, 0), None);
+    assert!(members.configured(4, ms(9_000), 0).is_none());
+}
+
+/// An instance that has read a new era looks behind those that still know the longer history before.
+#[test]
+fn later_era_is_ahead() {
+    let mut members = Members::new("a");
+    for (instance, end) in [("b", Position::new(0, 90)), ("c", Position::new(1, 5))] {
+        let heartbeat = Heartbeat {
+            ends: [end; 3],
+            instance: instance.into(),
+            ..Heartbeat::default()
+        };
+        members.receive(&heartbeat, address(), ms(1));
+    }
+    let ahead = |end| {
+        let member = members.ahead(Topic::Operator, end, ms(2), "", 0);
+        member.map(|member| member.instance.as_str())
+    };
+    assert_eq!(ahead(Position::new(0, 90)), Some("c"));
+    assert_eq!(ahead(Position::new(1, 5)), None);
+}
+
 /// The log is away for all: a few instances of the domain go on trying often, and again others after these have ended.
 #[test]
 fn log_is_away() {
