--- a/tests/entry_release.rs
+++ b/tests/entry_release.rs
@@ -9,6 +9,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use entry_core::at;
 use entry_fixtures::ms;
 use entry_script::{opened, play, Engines, Step, ENGINES, LARGEST, RUN_TIME, WIDE};
 use jujubehook::entry::platform::Topic;
@@ -38,11 +39,11 @@
     let records: Vec<Record> = records
         .map(|(offset, key)| Record {
             key,
-            offset,
-            value: None,
+            position: at(offset),
+            ..Record::default()
         })
         .collect();
-    let end = ENGINES + records.len() as u64;
+    let end = at(ENGINES + records.len() as u64);
     instance.apply(Topic::Targets, records, end, false);
 }
 
