entry: Do not send a request twice whose memory has expired

Only a request that may be repeated now looks for another target beside a silent one, and only a resumable stream is continued beside its silent target. The others wait for their target until it answers, breaks, or their time ends.

once_expired and stream_expired fail on the commit before (2 sends instead of 1) and pass now.

--- a/src/entry/relay.rs
+++ b/src/entry/relay.rs
@@ -98,7 +98,10 @@
             }
             let mut step = self.step().await;
             if let Step::Silent(failure) = step {
-                step = self.seek(failure).await;
+                step = match self.resumable {
+                    true => self.seek(failure).await,
+                    false => continue,
+                };
             }
             if let Step::Broken(failure) = step {
                 step = self.resume(failure).await;
--- a/src/entry/serve/open.rs
+++ b/src/entry/serve/open.rs
@@ -164,9 +164,9 @@
         or(ended, event).await
     }
 
-    /// Looks for another target beside those that are silent, if a retry is allowed.
+    /// Looks for another target beside those that are silent, if the request may run at both and a retry is allowed.
     fn look_again(&self, search: &mut Search) {
-        search.phase = match self.may_retry() {
+        search.phase = match self.route.kind.is_repeatable() && self.may_retry() {
             true => Phase::Find,
             false => Phase::Wait,
         };
--- a/tests/entry_core/mod.rs
+++ b/tests/entry_core/mod.rs
@@ -93,6 +93,16 @@
                 timeout: ms(15_000),
                 ..route("/twice/", stream)
             },
+            Route {
+                max_attempts: 2,
+                timeout: ms(15_000),
+                ..route("/sale/", RouteKind::Once)
+            },
+            Route {
+                max_attempts: 2,
+                timeout: ms(15_000),
+                ..route("/fixed/", RouteKind::Stream { resumable: false })
+            },
         ];
         let service = Service {
             profile: Some(profile()),
--- a/tests/entry_silence.rs
+++ b/tests/entry_silence.rs
@@ -9,7 +9,7 @@
 use std::time::{Duration, Instant};
 
 use entry_fixtures::ms;
-use entry_script::{opened, play, play_with, Engines, Step, LARGEST, WIDE};
+use entry_script::{opened, play, play_with, Engines, Step, LARGEST, RUN_TIME, WIDE};
 use jujubehook::entry::platform::Failure;
 use jujubehook::entry::{Answer, Instance, Settings};
 
@@ -120,6 +120,37 @@
     engines.check();
 }
 
+/// Memory of a request expires, as far as its instance knows, while its engine goes on. The request must not run again
+/// if it may run only once.
+#[test]
+fn once_expired() {
+    for path in ["/sale/", "/fixed/"] {
+        let engines = Rc::new(Engines {
+            loses_renewals: true,
+            ..Engines::new([Step::Wait(RUN_TIME * 2)])
+        });
+        let leave = async |_: Rc<Instance>, _: Answer| {};
+        play(&engines, path, LARGEST, leave);
+        assert_eq!(engines.sends.get(), 1, "{path}");
+    }
+}
+
+/// The same after the first event of a stream that cannot be resumed.
+#[test]
+fn stream_expired() {
+    let engines = Rc::new(Engines {
+        loses_renewals: true,
+        ..Engines::new([
+            Step::Event(1),
+            Step::Wait(ms(5_000)),
+            Step::Event(2),
+            Step::End,
+        ])
+    });
+    play(&engines, "/fixed/", WIDE, read_whole);
+    assert_eq!(engines.sends.get(), 1);
+}
+
 /// A broken connection is no silence: without a retry the caller learns of it at once.
 #[test]
 fn break_is_final() {
