relay: Free the engines of a silent stream when its memory expires

A stream whose engine had ended without a word was never continued in a fleet that just suffices for its prompt, and ended at the deadline.

The loss of memory is watched during that time too; then the request leaves the view.

--- a/src/entry/relay.rs
+++ b/src/entry/relay.rs
@@ -63,6 +63,19 @@
     }
 }
 
+/// Waits until memory of the stream is lost; forever if it has none.
+async fn memory_lost(loss: Option<&Receiver<Loss>>, in_flight: Option<&InFlight>) -> Step {
+    match lost(loss).await {
+        // The engines end the request if the memory has expired there too.
+        Loss::Expired => {
+            in_flight.inspect(|in_flight| in_flight.leave_view());
+            Step::Silent(Failure::Silent)
+        }
+        Loss::Unused => Step::Broken(Failure::Silent),
+        Loss::TargetGone => Step::Broken(Failure::Unreachable),
+    }
+}
+
 impl Relay {
     /// A stream whose first events have arrived.
     pub(super) fn new(mut exchange: Exchange, opened: Opened) -> Relay {
@@ -127,6 +140,7 @@
         if left.is_zero() {
             return Step::Broken(Failure::Silent);
         }
+        self.forget_known_loss();
         let max_silence = self.exchange.route.patience().mul_f64(SILENCE_SHARE);
         let (targets, address) = (&self.exchange.instance.targets, self.target.address);
         let (resumable, is_silent) = (self.resumable, self.is_silent);
@@ -146,23 +160,7 @@
             Timer::after(max_silence.min(left).saturating_sub(PROBE_AFTER)).await;
             Step::Silent(Failure::Silent)
         };
-        // A loss is reported once; then the channel is closed.
-        self.loss = self
-            .loss
-            .take()
-            .filter(|loss| !loss.is_closed() || !loss.is_empty());
-        let (loss, in_flight) = (self.loss.clone(), self.in_flight.as_ref());
-        let lost = async {
-            match lost(loss.as_ref()).await {
-                // The engines end the request if the memory has expired there too.
-                Loss::Expired => {
-                    in_flight.inspect(|in_flight| in_flight.leave_view());
-                    Step::Silent(Failure::Silent)
-                }
-                Loss::Unused => Step::Broken(Failure::Silent),
-                Loss::TargetGone => Step::Broken(Failure::Unreachable),
-            }
-        };
+        let lost = memory_lost(self.loss.as_ref(), self.in_flight.as_ref());
         let read = read(&mut *self.body, &mut self.events);
         let step = or(read, or(silence, lost)).await;
         if let Step::Bytes(bytes) = &step {
@@ -217,13 +215,18 @@
             self.record_silence(failure);
         }
         let last = self.events.last();
+        self.forget_known_loss();
         let raced = {
             let mut open = pin!(self.exchange.open(last));
             loop {
                 let opened = async { Race::Opened(open.as_mut().await) };
-                let read = async { Race::Read(read(&mut *self.body, &mut self.events).await) };
-                match or(read, opened).await {
+                let read = read(&mut *self.body, &mut self.events);
+                let lost = memory_lost(self.loss.as_ref(), self.in_flight.as_ref());
+                let own = async { Race::Read(or(read, lost).await) };
+                match or(own, opened).await {
                     Race::Read(Step::Bytes(bytes)) if bytes.is_empty() => {}
+                    // The engines are free for the other target.
+                    Race::Read(Step::Silent(_)) => self.loss = None,
                     // The other target may be about to answer.
                     Race::Read(Step::Broken(broken)) => {
                         self.in_flight = None;
@@ -252,6 +255,12 @@
         }
     }
 
+    /// Ends the wait for a loss that was reported: it is reported once, and then the channel is closed.
+    fn forget_known_loss(&mut self) {
+        let is_open = |loss: &Receiver<Loss>| !loss.is_closed() || !loss.is_empty();
+        self.loss = self.loss.take().filter(is_open);
+    }
+
     /// Records that the target is silent. The request ran there.
     fn record_silence(&mut self, failure: Failure) {
         self.is_silent = true;
--- a/tests/entry_core/mod.rs
+++ b/tests/entry_core/mod.rs
@@ -9,7 +9,8 @@
     Batch, Decoder, Directive, LocalBoxFuture, Log, LogError, Targets, Topic,
 };
 use jujubehook::entry::{
-    Config, Instance, Limits, Position, Rank, Record, Route, RouteKind, Service, Settings, Target,
+    Config, Instance, Limits, Position, Profile, Rank, Record, Route, RouteKind, Service, Settings,
+    Target,
 };
 use smol::LocalExecutor;
 
@@ -20,12 +21,13 @@
     ids: impl IntoIterator<Item = String>,
     targets: Rc<dyn Targets>,
 ) -> (Rc<Instance>, Rc<LocalExecutor<'static>>) {
-    start_with(Settings::default(), ids, targets)
+    start_with(Settings::default(), profile(), ids, targets)
 }
 
-/// The same with these settings.
+/// The same with these settings and engines of this profile.
 pub(crate) fn start_with(
     settings: Settings,
+    profile: Profile,
     ids: impl IntoIterator<Item = String>,
     targets: Rc<dyn Targets>,
 ) -> (Rc<Instance>, Rc<LocalExecutor<'static>>) {
@@ -33,7 +35,7 @@
     let instance = Instance::new(
         settings,
         executor.clone(),
-        Box::new(FixedDecoder),
+        Box::new(FixedDecoder(profile)),
         Rc::new(RefusingLog),
         targets,
     )
@@ -70,7 +72,7 @@
 
 /// Decodes any record of the operators' topic as the same configuration, and the key of any other record as the id of a
 /// target.
-struct FixedDecoder;
+struct FixedDecoder(Profile);
 
 impl Decoder for FixedDecoder {
     fn directive(&self, _: &Record) -> Result<Option<Directive>, String> {
@@ -105,7 +107,7 @@
             },
         ];
         let service = Service {
-            profile: Some(profile()),
+            profile: Some(self.0.clone()),
             name: "llm".into(),
             ..Service::default()
         };
--- a/tests/entry_script/mod.rs
+++ b/tests/entry_script/mod.rs
@@ -15,11 +15,13 @@
 use jujubehook::entry::platform::{
     Body, Call, Failure, LocalBoxFuture, Notice, Ordered, Presence, Reply, Targets,
 };
-use jujubehook::entry::{Answer, Content, Instance, Prompt, Relay, Request, Settings, Target};
+use jujubehook::entry::{
+    Answer, Content, Instance, Profile, Prompt, Relay, Request, Settings, Target,
+};
 use smol::Timer;
 
 use crate::entry_core;
-use crate::entry_fixtures::ms;
+use crate::entry_fixtures::{ms, profile};
 
 pub(crate) const ENGINES: u64 = 20;
 
@@ -63,6 +65,8 @@
     End,
     /// Does nothing for a time and answers nothing, not even new connections, and goes on.
     Stand(Duration),
+    /// Ends the request without a word and goes on: the connection stays open.
+    Finish,
     /// Ends without a word: the connection stays open.
     Vanish,
     /// Does nothing for a time.
@@ -75,6 +79,8 @@
     /// Whether another process accepts connections at the address of an engine that vanished.
     pub(crate) address_is_reused: bool,
     pub(crate) ended: Cell<Option<Instant>>,
+    /// Whether the engine that got the first request has finished it.
+    pub(crate) finished: Cell<bool>,
     /// Whether the first request waits at its engine and does not use its memory.
     pub(crate) is_queued: bool,
     /// Number of questions for the presence of an engine that get no answer, from the first on.
@@ -98,6 +104,7 @@
         Engines {
             address_is_reused: false,
             ended: Cell::new(None),
+            finished: Cell::new(false),
             is_queued: false,
             lost_questions: Cell::new(0),
             loses_renewals: false,
@@ -136,7 +143,8 @@
                     self.wait(time).await;
                     self.stands.set(false);
                 }
-                Some(Step::Break | Step::End | Step::Event(_) | Step::Vanish) | None => {}
+                Some(Step::Break | Step::End | Step::Event(_) | Step::Finish | Step::Vanish)
+                | None => {}
             }
             self.script.borrow_mut().pop_front();
             match step {
@@ -152,6 +160,10 @@
                     self.end();
                     return None;
                 }
+                Some(Step::Finish) => {
+                    self.end();
+                    self.finished.set(true);
+                }
                 Some(Step::Vanish) => {
                     self.end();
                     self.vanished.set(true);
@@ -268,7 +280,7 @@
     }
 
     fn uses_memory<'a>(&'a self, _: &'a Target, _: &'a str) -> LocalBoxFuture<'a, Option<bool>> {
-        Box::pin(async { Some(!self.0.is_queued) })
+        Box::pin(async { Some(!self.0.is_queued && !self.0.finished.get()) })
     }
 
     fn send(&self, call: Call) -> LocalBoxFuture<'_, Result<Reply, Failure>> {
@@ -317,9 +329,22 @@
     tokens: u64,
     caller: impl AsyncFnOnce(Rc<Instance>, Answer),
 ) {
-    let ids = (0..ENGINES).map(|number| format!("i-{number}"));
+    play_among(ENGINES, profile(), settings, engines, path, tokens, caller);
+}
+
+/// The same among `count` engines of a profile.
+pub(crate) fn play_among(
+    count: u64,
+    profile: Profile,
+    settings: Settings,
+    engines: &Rc<Engines>,
+    path: &str,
+    tokens: u64,
+    caller: impl AsyncFnOnce(Rc<Instance>, Answer),
+) {
+    let ids = (0..count).map(|number| format!("i-{number}"));
     let targets = Rc::new(Fleet(engines.clone()));
-    let (instance, executor) = entry_core::start_with(settings, ids, targets);
+    let (instance, executor) = entry_core::start_with(settings, profile, ids, targets);
     let request = Request {
         host: "h".into(),
         id: "id-1".into(),
--- a/tests/entry_silence.rs
+++ b/tests/entry_silence.rs
@@ -8,14 +8,22 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use entry_fixtures::ms;
-use entry_script::{opened, play, play_with, Engines, Step, LARGEST, RUN_TIME, WIDE};
+use entry_fixtures::{ms, profile};
+use entry_script::{opened, play, play_among, play_with, Engines, Step, LARGEST, RUN_TIME, WIDE};
+use futures_lite::future::or;
 use jujubehook::entry::platform::Failure;
-use jujubehook::entry::{Answer, Instance, Settings};
+use jujubehook::entry::{Answer, Instance, Profile, Settings};
+use smol::Timer;
 
 /// Tokens of a prompt that one engine reads at once.
 const SHORT: u64 = 2_000;
 
+/// Number of engines that just suffice for a prompt of `SMALL_WIDE` tokens.
+const SMALL_FLEET: u64 = 5;
+
+/// Tokens of a prompt that needs the memory of two small engines.
+const SMALL_WIDE: u64 = 150_000;
+
 /// Maximum time until a stream is moved from an engine that broke it.
 const MOVE_TIME: Duration = Duration::from_millis(300);
 
@@ -151,6 +159,46 @@
     assert_eq!(engines.sends.get(), 1);
 }
 
+/// An engine that writes an answer ends without a word in a small fleet, where the answer can go on only at engines that
+/// hold its memory: the stream must not wait for them until its time ends.
+#[test]
+fn gone_in_small_fleet() {
+    let engines = Rc::new(Engines::new([
+        Step::Event(1),
+        Step::Wait(ms(100)),
+        Step::Vanish,
+    ]));
+    let sends = engines.clone();
+    let caller = async |_: Rc<Instance>, answer| {
+        let mut relay = opened(answer).await;
+        let next = async {
+            relay.next().await;
+        };
+        let sent_again = async {
+            while sends.sends.get() < 2 {
+                Timer::after(ms(20)).await;
+            }
+        };
+        or(next, sent_again).await;
+    };
+    let profile = Profile {
+        memory_tokens: 100_000,
+        ..profile()
+    };
+    let settings = Settings::default();
+    play_among(
+        SMALL_FLEET,
+        profile,
+        settings,
+        &engines,
+        "/twice/",
+        SMALL_WIDE,
+        caller,
+    );
+    assert_eq!(engines.sends.get(), 2);
+    engines.check();
+}
+
 /// A broken connection is no silence: without a retry the caller learns of it at once.
 #[test]
 fn break_is_final() {
