reservation: Renew memory without events only while it is used

Cause: that the process runs was taken as proof that its request runs. After the first event, memory whose request sends no events is now renewed only if the engines that hold it report that it is used. If they do not, its lease ends.

--- a/src/entry/reservation.rs
+++ b/src/entry/reservation.rs
@@ -231,9 +231,15 @@
             }
         }
         is_used |= last_event.get().is_some();
-        if now >= check_use && !is_used {
+        let asks_use = match is_used {
+            // A process that runs may have ended the request, if the connection is dead.
+            true => !has_new_event(last_event.get(), now),
+            false => now >= check_use,
+        };
+        if asks_use {
             match are_used(&instance, &reservations).await {
                 Some(true) => is_used = true,
+                Some(false) | None if is_used => continue,
                 None if now + RENEW_RETRY * 2 < acquired + MAX_UNUSED => {
                     min_pause = QUESTION_RETRY;
                     continue;
@@ -275,13 +281,17 @@
     user: &Target,
     last_event: &Cell<Option<Duration>>,
 ) -> Presence {
-    let now = instance.clock.now();
-    match last_event.get() {
-        Some(at) if now < at + MAX_EVENT_AGE => Presence::Running,
-        Some(_) | None => instance.presence(user).await,
+    match has_new_event(last_event.get(), instance.clock.now()) {
+        true => Presence::Running,
+        false => instance.presence(user).await,
     }
 }
 
+/// Whether the last event proves that its request runs.
+fn has_new_event(last: Option<Duration>, now: Duration) -> bool {
+    last.is_some_and(|at| now < at + MAX_EVENT_AGE)
+}
+
 /// Whether a request uses all the memory; none if an engine does not answer.
 async fn are_used(instance: &Instance, reservations: &[Rc<Reservation>]) -> Option<bool> {
     let mut all = Some(true);
--- a/tests/entry_silence.rs
+++ b/tests/entry_silence.rs
@@ -199,6 +199,21 @@
     engines.check();
 }
 
+/// The connection to an engine is dead, which ends the request and goes on: its memory must not be renewed.
+#[test]
+fn dead_connection() {
+    let engines = Rc::new(Engines::new([
+        Step::Event(1),
+        Step::Wait(ms(600)),
+        Step::Finish,
+    ]));
+    let caller = async |_: Rc<Instance>, answer| {
+        opened(answer).await.next().await;
+    };
+    play_with(no_budget(), &engines, "/twice/", WIDE, caller);
+    engines.check();
+}
+
 /// A broken connection is no silence: without a retry the caller learns of it at once.
 #[test]
 fn break_is_final() {
