entry: Do not send a third time beside a target that is not silent

A request whose silent send found its memory taken was sent to a third target at once, although the second one was not silent, and the second one was no longer counted toward the route's maximum (rule BUDGET).

The end of a silent send now changes nothing while the newest target is not silent, whatever its outcome.

--- a/src/entry/serve/open.rs
+++ b/src/entry/serve/open.rs
@@ -215,21 +215,23 @@
         outcome: Outcome,
     ) -> Option<Opening> {
         let is_final_error = search.last_event_id.is_some();
-        match self.judge(&attempt, outcome, is_final_error, &mut search.answered) {
+        let verdict = self.judge(&attempt, outcome, is_final_error, &mut search.answered);
+        let is_replaced = match verdict {
             Verdict::Final(opening) => return Some(opening),
-            Verdict::Replace => {
-                search.is_retry = false;
-                Timer::after(PLACEMENT_INTERVAL).await;
-                if self.sends < MAX_SENDS && !self.time_left().is_zero() {
-                    search.phase = Phase::Find;
-                    return None;
-                }
-            }
-            Verdict::Retry => search.is_retry = true,
-        }
+            Verdict::Replace => true,
+            Verdict::Retry => false,
+        };
+        search.is_retry = !is_replaced;
         if search.attempts.fresh().is_some() {
             return None;
         }
+        if is_replaced {
+            Timer::after(PLACEMENT_INTERVAL).await;
+            if self.sends < MAX_SENDS && !self.time_left().is_zero() {
+                search.phase = Phase::Find;
+                return None;
+            }
+        }
         if !self.may_retry() {
             return search.give_up(self.retries_exhausted());
         }
--- a/tests/entry_script/mod.rs
+++ b/tests/entry_script/mod.rs
@@ -85,6 +85,8 @@
     pub(crate) is_queued: bool,
     /// Number of questions for the presence of an engine that get no answer, from the first on.
     pub(crate) lost_questions: Cell<u32>,
+    /// Time after which the first reservation is refused, if it is.
+    pub(crate) late_refusal: Cell<Option<Duration>>,
     /// Whether no renewal is carried out.
     pub(crate) loses_renewals: bool,
     pub(crate) reservations: RefCell<Vec<Reservation>>,
@@ -106,6 +108,7 @@
             ended: Cell::new(None),
             finished: Cell::new(false),
             is_queued: false,
+            late_refusal: Cell::new(None),
             lost_questions: Cell::new(0),
             loses_renewals: false,
             reservations: RefCell::default(),
@@ -262,6 +265,12 @@
         _: u32,
         hold: Duration,
     ) -> LocalBoxFuture<'a, Ordered> {
+        if let Some(time) = self.0.late_refusal.take() {
+            return Box::pin(async move {
+                Timer::after(time).await;
+                Ordered::default()
+            });
+        }
         let until = Instant::now() + hold;
         let mut reservations = self.0.reservations.borrow_mut();
         match reservations.iter_mut().find(|known| known.ticket == ticket) {
@@ -329,19 +338,48 @@
     tokens: u64,
     caller: impl AsyncFnOnce(Rc<Instance>, Answer),
 ) {
-    play_among(ENGINES, profile(), settings, engines, path, tokens, caller);
+    let deployment = Deployment {
+        settings,
+        ..Deployment::default()
+    };
+    play_in(deployment, engines, path, tokens, caller);
 }
 
-/// The same among `count` engines of a profile.
-pub(crate) fn play_among(
-    count: u64,
-    profile: Profile,
-    settings: Settings,
+/// What a request is played in.
+pub(crate) struct Deployment {
+    /// Number of engines.
+    pub(crate) engines: u64,
+    pub(crate) profile: Profile,
+    pub(crate) settings: Settings,
+    /// Maximum time of the play.
+    pub(crate) time: Duration,
+}
+
+impl Default for Deployment {
+    fn default() -> Deployment {
+        Deployment {
+            engines: ENGINES,
+            profile: profile(),
+            settings: Settings::default(),
+            time: RUN_TIME,
+        }
+    }
+}
+
+/// The same in this deployment.
+pub(crate) fn play_in(
+    deployment: Deployment,
     engines: &Rc<Engines>,
     path: &str,
     tokens: u64,
     caller: impl AsyncFnOnce(Rc<Instance>, Answer),
 ) {
+    let Deployment {
+        engines: count,
+        profile,
+        settings,
+        time,
+    } = deployment;
     let ids = (0..count).map(|number| format!("i-{number}"));
     let targets = Rc::new(Fleet(engines.clone()));
     let (instance, executor) = entry_core::start_with(settings, profile, ids, targets);
@@ -356,7 +394,7 @@
         ..Request::default()
     };
     let end = async {
-        Timer::after(RUN_TIME).await;
+        Timer::after(time).await;
     };
     let served = async {
         let answer = instance.serve(request).await;
--- a/tests/entry_silence.rs
+++ b/tests/entry_silence.rs
@@ -5,11 +5,14 @@
 mod entry_fixtures;
 mod entry_script;
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use entry_fixtures::{ms, profile};
-use entry_script::{opened, play, play_among, play_with, Engines, Step, LARGEST, RUN_TIME, WIDE};
+use entry_script::{
+    opened, play, play_in, play_with, Deployment, Engines, Step, LARGEST, RUN_TIME, WIDE,
+};
 use futures_lite::future::or;
 use jujubehook::entry::platform::Failure;
 use jujubehook::entry::{Answer, Instance, Profile, Settings};
@@ -21,6 +24,9 @@
 /// Number of engines that just suffice for a prompt of `SMALL_WIDE` tokens.
 const SMALL_FLEET: u64 = 5;
 
+/// Time after which memory is refused: the send is silent by then, and the next one is not yet.
+const REFUSAL_TIME: Duration = Duration::from_millis(600);
+
 /// Tokens of a prompt that needs the memory of two small engines.
 const SMALL_WIDE: u64 = 150_000;
 
@@ -36,6 +42,18 @@
     }
 }
 
+/// Few engines with little memory.
+fn small_fleet() -> Deployment {
+    Deployment {
+        engines: SMALL_FLEET,
+        profile: Profile {
+            memory_tokens: 100_000,
+            ..profile()
+        },
+        ..Deployment::default()
+    }
+}
+
 /// Reads a stream to its end and checks that it is whole: two events.
 async fn read_whole(_: Rc<Instance>, answer: Answer) {
     let mut relay = opened(answer).await;
@@ -181,24 +199,30 @@
         };
         or(next, sent_again).await;
     };
-    let profile = Profile {
-        memory_tokens: 100_000,
-        ..profile()
-    };
-    let settings = Settings::default();
-    play_among(
-        SMALL_FLEET,
-        profile,
-        settings,
-        &engines,
-        "/twice/",
-        SMALL_WIDE,
-        caller,
-    );
+    play_in(small_fleet(), &engines, "/twice/", SMALL_WIDE, caller);
     assert_eq!(engines.sends.get(), 2);
     engines.check();
 }
 
+/// Memory for a silent send is refused while another engine, which is not silent, has the request: no third engine must
+/// get it.
+#[test]
+fn refused_while_silent() {
+    let engines = Rc::new(Engines {
+        late_refusal: Cell::new(Some(REFUSAL_TIME)),
+        vanished: Cell::new(true),
+        ..Engines::new([Step::Wait(RUN_TIME * 2)])
+    });
+    let deployment = Deployment {
+        engines: 20,
+        time: REFUSAL_TIME + ms(150),
+        ..small_fleet()
+    };
+    let leave = async |_: Rc<Instance>, _: Answer| {};
+    play_in(deployment, &engines, "/twice/", SMALL_WIDE, leave);
+    assert_eq!(engines.sends.get(), 1);
+}
+
 /// The connection to an engine is dead, which ends the request and goes on: its memory must not be renewed.
 #[test]
 fn dead_connection() {
