--- a/src/entry/serve/mod.rs
+++ b/src/entry/serve/mod.rs
@@ -79,6 +79,24 @@
     workspace: Option<WorkspaceId>,
 }
 
+/// A request without an answer; logged as left by its caller if it is dropped before it gets one.
+struct Unanswered<'a> {
+    arrival: Duration,
+    instance: &'a Instance,
+    is_answered: bool,
+    kind: &'static str,
+    request: &'a Request,
+}
+
+impl Drop for Unanswered<'_> {
+    fn drop(&mut self) {
+        if !self.is_answered {
+            let (instance, id) = (self.instance, &self.request.id);
+            instance.finish(self.kind, id, self.arrival, "caller_left");
+        }
+    }
+}
+
 impl Instance {
     /// Starts following the log and exchanging heartbeats with other instances.
     ///
@@ -109,12 +127,20 @@
             }
         };
         let kind = exchange.route.kind.name();
+        let mut unanswered = Unanswered {
+            arrival,
+            instance: self,
+            is_answered: false,
+            kind,
+            request: &request,
+        };
         let ended = async {
             self.wait_for_end().await;
             None
         };
         let open = async { Some(exchange.open(request.last_event_id).await) };
         let opened = or(open, ended).await;
+        unanswered.is_answered = true;
         let opened = match opened {
             Some(opened) => opened,
             None => Opening::GivenUp(exchange.interrupted()),
--- a/tests/entry_script/mod.rs
+++ b/tests/entry_script/mod.rs
@@ -226,7 +226,7 @@
 }
 
 /// The engines as targets.
-struct Fleet(Rc<Engines>);
+pub(crate) struct Fleet(pub(crate) Rc<Engines>);
 
 impl Targets for Fleet {
     fn discard(&self, _: SocketAddr) {}
