queue: Add the admission queue

Cause: requests that compete for too few slots retry on their own; nobody orders them, and callers learn late that they are refused. Change: entry::Queue decides which requests wait, in which order, and which are refused with which retry time; entry::FreeRate measures the rate at which slots become free. Decision logic only; nothing calls it yet.

--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -34,6 +34,7 @@
 mod probe;
 pub mod proof;
 pub mod quarantine;
+mod queue;
 mod reachability;
 mod reader;
 mod relay;
@@ -69,6 +70,7 @@
 };
 pub use position::Position;
 pub use quarantine::Quarantine;
+pub use queue::{Admission, FreeRate, Queue, Waiting};
 pub use reachability::Reachability;
 pub use relay::Relay;
 pub use request::{Prompt, Request};
