queue: Sort only when start tags have changed

Change: a new request is inserted at its rank; the queue is sorted only if start tags of other requests have changed.

--- a/src/entry/queue/mod.rs
+++ b/src/entry/queue/mod.rs
@@ -130,22 +130,23 @@
             (false, true) => Level::Overdue,
         };
         let workspace = waiting.workspace;
-        let start = self.first_start(level, workspace);
+        let first = self.first_start(level, workspace);
         let due = (waiting.latest_start, waiting.number);
-        let mut own = self.entries.iter();
-        let before = own.rposition(|entry| {
+        let before = self.entries.iter().rfind(|entry| {
             let other = &entry.waiting;
             entry.is_of(level, workspace) && (other.latest_start, other.number) < due
         });
-        let at = before.map_or(0, |at| at + 1);
+        let start = before.map_or(first, |entry| fair::finish(entry.start, entry.waiting.cost));
         let entry = Entry {
             level,
             place: 0,
             start,
             waiting,
         };
+        let rank = entry.rank();
+        let at = self.entries.partition_point(|other| other.rank() < rank);
         self.entries.insert(at, entry);
-        self.tag(level, workspace, start);
+        self.tag(level, workspace, first);
     }
 
     /// Start tag of the first waiting request of a workspace, or of its next one if none waits.
@@ -157,12 +158,16 @@
 
     /// Assigns start tags to the requests of a workspace in their order, and restores the order of the queue.
     fn tag(&mut self, level: Level, workspace: u32, mut start: Duration) {
+        let mut is_changed = false;
         let own = self.entries.iter_mut();
         for entry in own.filter(|entry| entry.is_of(level, workspace)) {
+            is_changed |= entry.start != start;
             entry.start = start;
             start = fair::finish(start, entry.waiting.cost);
         }
-        self.entries.sort_by_key(Entry::rank);
+        if is_changed {
+            self.entries.sort_by_key(Entry::rank);
+        }
     }
 
     /// Removes the request at `at`. If it was not served, the next one of its workspace gets its start tag.
