queue: Measure the removal of nearly all requests

Cause: expire removes requests one by one, which no load of examples/admission_queue showed. Change: the example measures expire when the rate falls to zero; the limit is in docs/design/queue.md. Clippy's is_multiple_of.

--- a/examples/admission_queue.rs
+++ b/examples/admission_queue.rs
@@ -20,7 +20,7 @@
         leaves: latest_start + Duration::from_secs(5),
         number,
         priority: (number % priorities) as u8,
-        resumes: number % 50 == 0,
+        resumes: number.is_multiple_of(50),
         workspace: (number * 31 % 64) as u32,
     }
 }
@@ -29,6 +29,24 @@
     for (rate, priorities) in [(1_000.0, 3), (128.0, 3), (110.0, 3), (128.0, 64)] {
         measure(rate, priorities);
     }
+    measure_fall();
+}
+
+/// Measures `expire` when the rate falls to zero, so that nearly all requests are removed at once.
+fn measure_fall() {
+    let mut times = Vec::new();
+    for seed in 0..1_000 {
+        let mut queue = Queue::with_seed(CAPACITY, seed);
+        for number in 0..CAPACITY as u64 {
+            queue.offer(waiting(number, 3, Duration::ZERO), 1_000.0, Duration::ZERO);
+        }
+        let start = Instant::now();
+        let removed = black_box(queue.expire(0.0, Duration::ZERO));
+        times.push(start.elapsed());
+        assert!(removed.len() > 200);
+    }
+    println!("rate falls to 0/s");
+    report("expire", &mut times);
 }
 
 fn measure(rate: f64, priorities: u64) {
@@ -52,7 +70,7 @@
         let head = black_box(queue.head()).map(|head| head.number);
         time(1, start);
         waited += queue.len();
-        if number % 4 == 0 {
+        if number.is_multiple_of(4) {
             let start = Instant::now();
             black_box(head.and_then(|number| queue.remove(number, true)));
             time(2, start);
@@ -64,12 +82,16 @@
     let mean = waited / ROUNDS as usize;
     println!("rate {rate}/s, {priorities} priorities, {mean} waiting on average");
     for (call, times) in ["offer", "head", "remove", "expire"].iter().zip(&mut times) {
-        times.sort_unstable();
-        let (median, p99) = (times[times.len() / 2], times[times.len() * 99 / 100]);
-        let max = times[times.len() - 1];
-        println!(
-            "  {call}: median {median:?}, p99 {p99:?}, max {max:?}, {} calls",
-            times.len()
-        );
+        report(call, times);
     }
 }
+
+fn report(call: &str, times: &mut [Duration]) {
+    times.sort_unstable();
+    let (median, p99) = (times[times.len() / 2], times[times.len() * 99 / 100]);
+    let max = times[times.len() - 1];
+    println!(
+        "  {call}: median {median:?}, p99 {p99:?}, max {max:?}, {} calls",
+        times.len()
+    );
+}
