permit: Grant each slot of an engine to one request

Requests that waited had no order and were refused after a whole objective. Change: one instance of each domain grants the slots of its engines and keeps the queue (permits.from_instances). Refused callers return one after the other. The sets of engines for short prompts are counted for each domain.

--- a/src/entry/directory.rs
+++ b/src/entry/directory.rs
@@ -192,6 +192,12 @@
         Some(&self.targets.get(found.ok()?)?.target)
     }
 
+    /// The failure domain of a target.
+    pub fn domain(&self, key: TargetKey) -> Option<&str> {
+        let found = self.targets.iter().find(|entry| entry.target.key() == key);
+        Some(&found?.target.domain)
+    }
+
     /// All known targets.
     pub fn targets(&self) -> impl Iterator<Item = &Rc<Target>> {
         self.targets.iter().map(|entry| &entry.target)
--- a/src/entry/heartbeat.rs
+++ b/src/entry/heartbeat.rs
@@ -78,6 +78,9 @@
     pub reads: [bool; 3],
     /// Version of the operator's configuration that the sender knows; 0 before the first one.
     pub config: u64,
+    /// Share of a processor core in thousandths; 0 if unknown, or if the process stops.
+    #[serde(default)]
+    pub processor: u32,
 }
 
 impl Heartbeat {
--- a/src/entry/instance.rs
+++ b/src/entry/instance.rs
@@ -7,6 +7,7 @@
 use async_channel::{Receiver, Sender};
 use smol::LocalExecutor;
 
+use super::permits::Permits;
 use super::platform::{Decoder, Log, Notice, Targets, Topic};
 use super::{
     Budgets, ColdLimiter, Config, Directory, Engine, Fold, Health, Load, Members, Metrics, Pauses,
@@ -42,11 +43,14 @@
     pub(super) incarnation: Incarnation,
     pub(super) members: RefCell<Members>,
     pub(super) pauses: RefCell<Pauses>,
+    pub(super) permits: Permits,
     pub(super) slowdowns: RefCell<Slowdowns>,
     /// Metrics.
     pub metrics: Metrics,
     pub(super) quarantine: RefCell<Quarantine>,
     pub(super) reachability: RefCell<Reachability>,
+    /// Number of the last heartbeat or update.
+    pub(super) sequence: Cell<u64>,
     pub(super) settings: RefCell<Settings>,
     sync_requests: (Sender<()>, Receiver<()>),
     pub(super) source: Source,
@@ -95,6 +99,8 @@
             members: RefCell::new(Members::new(&*settings.instance)),
             metrics: Metrics::new()?,
             pauses: RefCell::default(),
+            permits: Permits::default(),
+            sequence: Cell::new(0),
             slowdowns: RefCell::default(),
             source: Source::new(clock.clone(), &*settings.instance, &*settings.domain),
             clock,
--- a/src/entry/member.rs
+++ b/src/entry/member.rs
@@ -46,6 +46,8 @@
     pub instance: InstanceId,
     /// Time of its last heartbeat.
     pub last_heartbeat: Option<Duration>,
+    /// Share of a processor core in thousandths; 0 if unknown, or if its process stops.
+    pub processor: u32,
     /// Topics that it reads from the log, in the order of `Topic::ALL`.
     pub reads: [bool; 3],
 }
@@ -110,6 +112,7 @@
                     incarnation: 0,
                     instance: instance.to_owned(),
                     last_heartbeat: None,
+                    processor: 0,
                     reads: [false; 3],
                 },
             ),
@@ -131,6 +134,7 @@
             let member = &mut self.list[at];
             member.domain.clone_from(&heartbeat.domain);
             member.reads = heartbeat.reads;
+            member.processor = heartbeat.processor;
             member.config = heartbeat.config;
             member.ends = heartbeat.ends;
             member.last_heartbeat = Some(now);
--- a/src/entry/metric.rs
+++ b/src/entry/metric.rs
@@ -26,6 +26,8 @@
     pub log_restores: IntCounterVec,
     /// Tasks that ended by a panic, by what they did.
     pub panics: IntCounterVec,
+    /// Replies of this instance as an allocator, by kind.
+    pub permits: IntCounterVec,
     registry: Registry,
     /// Requests by kind of route and outcome.
     pub requests: IntCounterVec,
@@ -70,6 +72,12 @@
                 "Tasks that ended by a panic.",
                 &["task"],
             )?,
+            permits: counters(
+                r,
+                "entry_permits_total",
+                "Replies of this instance as the allocator of its domain.",
+                &["reply"],
+            )?,
             requests: counters(
                 r,
                 "entry_requests_total",
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -27,6 +27,8 @@
 mod metric;
 mod pauses;
 mod peer;
+pub mod permit;
+mod permits;
 mod pick;
 mod place;
 pub mod platform;
@@ -66,7 +68,8 @@
 pub use pauses::{pause_time, Pauses};
 pub use pick::pick;
 pub use place::{
-    place, place_held, survey, unseen_requests, Choice, Helper, Placement, Requirements, Survey,
+    is_single, place, place_held, short_set, survey, unseen_requests, Choice, Helper, Placement,
+    Requirements, Survey,
 };
 pub use position::Position;
 pub use quarantine::Quarantine;
@@ -76,7 +79,7 @@
 pub use request::{Prompt, Request};
 pub use settings::Settings;
 pub use slowdown::Slowdowns;
-pub use view::{View, Work};
+pub use view::{Permit, View, Work};
 
 /// Short form of a target's id in datagrams and tables: the low half of its hash.
 pub type TargetKey = u32;
--- a/src/entry/peer.rs
+++ b/src/entry/peer.rs
@@ -7,8 +7,9 @@
 use smol::net::{TcpListener, UdpSocket};
 use smol::Timer;
 
+use super::permit::{check_row, Envelope, Malformed};
 use super::platform::{LocalBoxFuture, Topic};
-use super::{transfer, Fanout, Heartbeat, Instance};
+use super::{permits, transfer, Fanout, Heartbeat, Instance};
 use crate::event;
 
 /// Time between two heartbeats of an instance alone.
@@ -29,6 +30,9 @@
 /// First byte of a datagram whose heartbeat is read and passed on to the live instances of the receiver's failure domain.
 const PASS_ON: u8 = 1;
 
+/// First byte of a datagram with messages about permits.
+const PERMITS: u8 = 2;
+
 /// Second byte of a datagram: format of the heartbeat that follows.
 const FORMAT: u8 = 1;
 
@@ -44,7 +48,11 @@
     spawn(
         Box::pin(send_heartbeats(instance.clone(), socket.clone())) as LocalBoxFuture<'static, ()>
     );
-    spawn(Box::pin(receive_heartbeats(instance.clone(), socket)));
+    spawn(Box::pin(receive_heartbeats(
+        instance.clone(),
+        socket.clone(),
+    )));
+    spawn(Box::pin(permits::send(instance.clone(), socket)));
     spawn(Box::pin(transfer::serve(instance.clone(), listener)));
     for topic in Topic::ALL {
         spawn(Box::pin(transfer::catch_up(instance.clone(), topic)));
@@ -71,7 +79,7 @@
         }
         let all = now >= sent + IDLE_INTERVAL || sequence % 8 == 0;
         sequence += 1;
-        heartbeat.sequence = sequence;
+        heartbeat.sequence = instance.next_sequence();
         heartbeat.time = instance.clock.tick();
         match encode(&heartbeat) {
             Ok(datagram) => spread(&instance, &socket, datagram, sequence, all).await,
@@ -93,6 +101,13 @@
     Ok(datagram)
 }
 
+/// Messages about permits in a datagram.
+pub(super) fn encode_permits(envelope: &Envelope) -> Result<Vec<u8>, rmp_serde::encode::Error> {
+    let mut datagram = vec![PERMITS, FORMAT];
+    rmp_serde::encode::write(&mut datagram, envelope)?;
+    Ok(datagram)
+}
+
 /// Sends a heartbeat to other instances.
 async fn spread(
     instance: &Instance,
@@ -112,7 +127,12 @@
 }
 
 /// Sends a datagram. The protocol tolerates lost ones.
-async fn send(instance: &Instance, socket: &UdpSocket, datagram: &[u8], address: SocketAddr) {
+pub(super) async fn send(
+    instance: &Instance,
+    socket: &UdpSocket,
+    datagram: &[u8],
+    address: SocketAddr,
+) {
     if let Err(error) = socket.send_to(datagram, address).await {
         event!(
             debug,
@@ -179,6 +199,7 @@
             .collect(),
         fragments: instance.quarantine.borrow().report(now),
         leaving: instance.directory.borrow().reports(now),
+        processor: instance.processor(),
         reads: instance.reads.get(),
     }
 }
@@ -207,6 +228,10 @@
             report_foreign(&instance, &mut foreign, from, *format);
             continue;
         }
+        if *way == PERMITS {
+            receive_permits(&instance, bytes, from);
+            continue;
+        }
         match rmp_serde::from_slice::<Heartbeat>(bytes) {
             Ok(heartbeat) => receive(&instance, &heartbeat, from),
             Err(error) => {
@@ -229,6 +254,31 @@
     }
 }
 
+/// Applies messages about permits, unless they are malformed.
+fn receive_permits(instance: &Rc<Instance>, bytes: &[u8], from: SocketAddr) {
+    let refuse = |error: String| {
+        event!(
+            warn,
+            instance.source,
+            "permits_unreadable",
+            from = from.to_string(),
+            error = error
+        );
+    };
+    match rmp_serde::from_slice::<Envelope>(bytes) {
+        Ok(envelope) => match envelope.check() {
+            Ok(()) => instance.receive_envelope(envelope, from),
+            Err(error) => refuse(error.to_string()),
+        },
+        Err(error) => refuse(error.to_string()),
+    }
+}
+
+/// Checks the counts of a heartbeat.
+fn check(heartbeat: &Heartbeat) -> Result<(), Malformed> {
+    heartbeat.rows.iter().try_for_each(check_row)
+}
+
 /// Reports a sender of another format, once.
 fn report_foreign(
     instance: &Instance,
@@ -260,6 +310,16 @@
 
 fn receive(instance: &Instance, heartbeat: &Heartbeat, from: SocketAddr) {
     let now = instance.clock.now();
+    if let Err(error) = check(heartbeat) {
+        event!(
+            warn,
+            instance.source,
+            "beat_unreadable",
+            from = from.to_string(),
+            error = error.to_string()
+        );
+        return;
+    }
     instance.clock.merge(heartbeat.time);
     if !instance.view.borrow_mut().receive(heartbeat, now) {
         return;
--- /dev/null
+++ b/src/entry/permit/allocator.rs
@@ -0,0 +1,364 @@
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use super::returns::Returns;
+use super::{Ask, Reply};
+use crate::entry::queue::{Admission, FreeRate, Queue, Waiting};
+use crate::entry::{
+    place, short_set, Choice, Engine, Permit, Placement, Profile, Requirements, TargetKey,
+};
+use crate::id::{DomainId, Incarnation};
+
+/// Maximum number of requests that wait at one allocator: more than can be served within any objective.
+const CAPACITY: usize = 256;
+
+/// Time for which a granted slot counts as taken without a confirmation: several times the longest way of a message.
+const PERMIT_TIME: Duration = Duration::from_millis(300);
+
+/// Time without a repeated ask after which a waiting request is dropped: its instance repeats it every 100 ms.
+const ASK_TIMEOUT: Duration = Duration::from_millis(350);
+
+/// Time for which a request with a short prompt occupies a slot, for the fair order of workspaces.
+const SLOT_TIME: Duration = Duration::from_secs(2);
+
+/// Minimum number of free slots in another domain for which requests are redirected to it. News of other domains is a
+/// heartbeat old.
+const MIN_FREE_ELSEWHERE: u32 = 4;
+
+/// Passes of an engine until the first event: the one that runs when a prompt arrives, and the one that prefills it.
+const PASSES_TO_FIRST_EVENT: u32 = 2;
+
+/// Free slots of another domain's engines for short prompts.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Room {
+    /// Domain.
+    pub domain: DomainId,
+    /// Free slots.
+    pub free: u32,
+}
+
+/// What the decision on one ask depends on.
+#[derive(Clone, Debug)]
+pub struct Known {
+    /// Other domains.
+    pub elsewhere: Vec<Room>,
+    /// Usable engines of the allocator's domain with their load, without those that the ask excludes.
+    pub engines: Vec<Engine>,
+    /// Performance profile of the service's engines.
+    pub profile: Profile,
+}
+
+/// The engines of the allocator's domain.
+pub trait Slots {
+    /// What is known now for a decision on this ask; none if its service is not known.
+    fn known(&self, ask: &Ask) -> Option<Known>;
+
+    /// Adds a granted slot to the load of its engine.
+    fn grant(&self, permit: Permit);
+}
+
+/// The instance and the process that asked, and the address for the reply.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Asker {
+    /// Address.
+    pub address: SocketAddr,
+    /// Number of its process.
+    pub incarnation: Incarnation,
+}
+
+/// A reply and where it goes.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Answered {
+    /// Recipient.
+    pub asker: Asker,
+    /// Number of the ask.
+    pub number: u64,
+    /// Reply.
+    pub reply: Reply,
+}
+
+/// Grants the slots of a domain's engines, one request each.
+#[derive(Debug)]
+pub struct Allocator {
+    next: u64,
+    queue: Queue,
+    random: fastrand::Rng,
+    rate: FreeRate,
+    returns: Returns,
+    /// Running requests at the last decision.
+    running: u32,
+    /// Requests in the queue.
+    waiting: Vec<Waiter>,
+}
+
+#[derive(Clone, Debug)]
+struct Waiter {
+    ask: Ask,
+    asker: Asker,
+    /// Number in the queue.
+    number: u64,
+    received: Duration,
+    /// Time of the last repeated ask.
+    repeated: Duration,
+}
+
+enum Decision {
+    Elsewhere(DomainId),
+    Full,
+    Grant(Placement),
+}
+
+impl Allocator {
+    /// An allocator that has granted nothing; `seed` decides between equal engines.
+    pub fn new(seed: u64) -> Allocator {
+        Allocator {
+            next: 0,
+            queue: Queue::with_seed(CAPACITY, seed),
+            random: fastrand::Rng::with_seed(seed),
+            rate: FreeRate::default(),
+            returns: Returns::default(),
+            running: 0,
+            waiting: Vec::new(),
+        }
+    }
+
+    /// Number of requests that wait.
+    pub fn waiting(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Decides on an ask: grants a slot, redirects, queues or refuses it.
+    pub fn ask(
+        &mut self,
+        asker: Asker,
+        ask: Ask,
+        slots: &dyn Slots,
+        now: Duration,
+    ) -> Vec<Answered> {
+        let answered = |reply| Answered {
+            asker,
+            number: ask.number,
+            reply,
+        };
+        let is_known = |waiter: &&mut Waiter| {
+            waiter.asker.incarnation == asker.incarnation && waiter.ask.number == ask.number
+        };
+        if let Some(waiter) = self.waiting.iter_mut().find(is_known) {
+            waiter.repeated = now;
+            return vec![answered(Reply::Queued)];
+        }
+        let Some(known) = slots.known(&ask) else {
+            return vec![answered(Reply::Refused { retry_ms: 1_000 })];
+        };
+        match self.decide(&ask, Duration::ZERO, &known) {
+            // Requests that wait are due first.
+            Decision::Grant(placement) if self.waiting.is_empty() => {
+                let reply = self.grant(&ask, &placement, slots, now);
+                vec![answered(reply)]
+            }
+            Decision::Elsewhere(domain) => vec![answered(Reply::Elsewhere { domain })],
+            Decision::Grant(_) | Decision::Full => {
+                let mut answers = self.enqueue(asker, ask, &known.profile, now);
+                answers.extend(self.drain(slots, now));
+                answers
+            }
+        }
+    }
+
+    /// Records that a slot became free, and grants it to the request that is due first.
+    pub fn free(&mut self, slots: &dyn Slots, now: Duration) -> Vec<Answered> {
+        self.rate.record(1, now);
+        self.drain(slots, now)
+    }
+
+    /// Removes a request from the queue, because its caller left or its instance placed it otherwise.
+    pub fn cancel(&mut self, asker: Asker, number: u64) {
+        let found = self.waiting.iter().position(|waiter| {
+            waiter.asker.incarnation == asker.incarnation && waiter.ask.number == number
+        });
+        if let Some(at) = found {
+            let waiter = self.waiting.remove(at);
+            self.queue.remove(waiter.number, false);
+        }
+    }
+
+    /// Refuses requests that cannot start in time any more, drops those whose instances do not repeat them, and grants
+    /// what is free.
+    pub fn tick(&mut self, slots: &dyn Slots, now: Duration) -> Vec<Answered> {
+        let is_lost = |waiter: &Waiter| now >= waiter.repeated.saturating_add(ASK_TIMEOUT);
+        for waiter in self.waiting.extract_if(.., |waiter| is_lost(waiter)) {
+            self.queue.remove(waiter.number, false);
+        }
+        let rate = self.rate.per_s(self.running, now);
+        let expired = self.queue.expire(rate, now);
+        let mut answers = self.refuse(expired, rate, now);
+        answers.extend(self.drain(slots, now));
+        answers
+    }
+
+    /// Grants free slots to the requests that are due first.
+    fn drain(&mut self, slots: &dyn Slots, now: Duration) -> Vec<Answered> {
+        let mut answers = Vec::new();
+        while let Some(number) = self.queue.head().map(|head| head.number) {
+            let found = self.waiting.iter().find(|waiter| waiter.number == number);
+            let Some(waiter) = found.cloned() else {
+                self.queue.remove(number, false);
+                continue;
+            };
+            let Some(known) = slots.known(&waiter.ask) else {
+                break;
+            };
+            let age = now.saturating_sub(waiter.received);
+            let reply = match self.decide(&waiter.ask, age, &known) {
+                Decision::Grant(placement) => self.grant(&waiter.ask, &placement, slots, now),
+                Decision::Elsewhere(domain) => Reply::Elsewhere { domain },
+                Decision::Full => break,
+            };
+            let is_served = matches!(reply, Reply::Grant { .. });
+            self.queue.remove(number, is_served);
+            answers.extend(self.answer(number, reply));
+        }
+        answers
+    }
+
+    /// The decision on an ask that was received `age` ago.
+    fn decide(&mut self, ask: &Ask, age: Duration, known: &Known) -> Decision {
+        let requirements = Requirements {
+            deadline: ask.left().saturating_sub(age),
+            gap: Duration::from_millis(u64::from(ask.gap_ms)),
+            objective: ask.objective().saturating_sub(age),
+            permits: true,
+            prompt: ask.prompt,
+            tokens: ask.tokens,
+            ..Requirements::default()
+        };
+        let running = known.engines.iter().map(|engine| engine.load.running);
+        self.running = running.fold(0, u32::saturating_add);
+        let seed = self.random.u64(..);
+        let choice = place(&requirements, &known.profile, &known.engines, seed);
+        let placement = match choice {
+            Choice::Place(placement) => Some(placement),
+            Choice::Hold(_) | Choice::Keep | Choice::Refuse | Choice::Wait => None,
+        };
+        let is_preferred = placement.as_ref().is_some_and(|placement| {
+            let preferred = short_set(&requirements, &known.profile, &known.engines);
+            preferred.contains(&placement.primary.key())
+        });
+        // The engines for long prompts are used only while no other domain has free ones for short prompts.
+        if !is_preferred && !ask.redirected {
+            let room = known.elsewhere.iter().max_by_key(|room| room.free);
+            if let Some(room) = room.filter(|room| room.free >= MIN_FREE_ELSEWHERE) {
+                return Decision::Elsewhere(room.domain.clone());
+            }
+        }
+        placement.map_or(Decision::Full, Decision::Grant)
+    }
+
+    fn grant(
+        &mut self,
+        ask: &Ask,
+        placement: &Placement,
+        slots: &dyn Slots,
+        now: Duration,
+    ) -> Reply {
+        let permit = self.number();
+        let target: TargetKey = placement.primary.key();
+        slots.grant(Permit {
+            expires: now.saturating_add(PERMIT_TIME),
+            gap: Duration::from_millis(u64::from(ask.gap_ms)),
+            number: permit,
+            part_time: placement.part_time,
+            start: now,
+            target,
+            tokens: placement.primary_tokens,
+        });
+        Reply::Grant {
+            permit,
+            target,
+            wait_ms: millis(placement.wait),
+        }
+    }
+
+    /// Queues an ask or refuses it; refuses those that it displaces.
+    fn enqueue(
+        &mut self,
+        asker: Asker,
+        ask: Ask,
+        profile: &Profile,
+        now: Duration,
+    ) -> Vec<Answered> {
+        let number = self.number();
+        let prefill = profile.prefill_time(ask.prompt);
+        let to_first_event = profile.pass_time() * PASSES_TO_FIRST_EVENT + prefill;
+        let waiting = Waiting {
+            arrival: now,
+            cost: SLOT_TIME,
+            latest_start: now + ask.objective().saturating_sub(to_first_event),
+            leaves: now + ask.left(),
+            number,
+            priority: ask.priority,
+            resumes: ask.resumes,
+            workspace: ask.workspace,
+        };
+        let rate = self.rate.per_s(self.running, now);
+        let (admission, displaced) = self.queue.offer(waiting, rate, now);
+        let mut answers = self.refuse(displaced, rate, now);
+        let reply = match admission {
+            Admission::Queued => Reply::Queued,
+            Admission::Refused { retry } => Reply::Refused {
+                retry_ms: millis(retry.max(self.returns.next(rate, now))),
+            },
+        };
+        answers.push(Answered {
+            asker,
+            number: ask.number,
+            reply,
+        });
+        if admission == Admission::Queued {
+            self.waiting.push(Waiter {
+                ask,
+                asker,
+                number,
+                received: now,
+                repeated: now,
+            });
+        }
+        answers
+    }
+
+    fn refuse(
+        &mut self,
+        removed: Vec<(Waiting, Duration)>,
+        rate: f64,
+        now: Duration,
+    ) -> Vec<Answered> {
+        let refused = removed.into_iter().filter_map(|(waiting, retry)| {
+            let retry_ms = millis(retry.max(self.returns.next(rate, now)));
+            self.answer(waiting.number, Reply::Refused { retry_ms })
+        });
+        refused.collect()
+    }
+
+    /// The final reply to a request that waited.
+    fn answer(&mut self, number: u64, reply: Reply) -> Option<Answered> {
+        let found = self
+            .waiting
+            .iter()
+            .position(|waiter| waiter.number == number);
+        let waiter = self.waiting.remove(found?);
+        Some(Answered {
+            asker: waiter.asker,
+            number: waiter.ask.number,
+            reply,
+        })
+    }
+
+    fn number(&mut self) -> u64 {
+        self.next = self.next.saturating_add(1);
+        self.next
+    }
+}
+
+fn millis(time: Duration) -> u32 {
+    u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
+}
--- a/src/entry/place/mod.rs
+++ b/src/entry/place/mod.rs
@@ -9,7 +9,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use super::{Engine, Profile, Target};
+use super::{Engine, Profile, Target, TargetKey};
 
 pub use hold::place_held;
 pub use survey::{survey, Survey};
@@ -21,6 +21,10 @@
 /// instances send before their next heartbeat.
 const TARGET_FILL: f64 = 0.75;
 
+/// The same where an allocator grants the slots. The rest is used until another engine has finished its prefill of long
+/// prompts and takes short ones.
+const PERMITTED_FILL: f64 = 0.85;
+
 /// Minimum number of requests with short prompts for which engines are kept that are not known yet.
 const MIN_UNSEEN: f64 = 2.0;
 
@@ -55,6 +59,8 @@
     pub gap: Duration,
     /// Time until the first event misses its objective.
     pub objective: Duration,
+    /// Whether an allocator in each domain grants the slots for short prompts, so that none is taken twice.
+    pub permits: bool,
     /// Tokens of the prompt.
     pub prompt: u32,
     /// Tokens of context at the end of the answer.
@@ -120,6 +126,11 @@
     short_engines: usize,
 }
 
+/// Whether a prompt is short: it is placed on a single engine.
+pub fn is_single(profile: &Profile, prompt: u32) -> bool {
+    profile.prefill_time(prompt) <= SINGLE_LIMIT
+}
+
 /// Places a request on engines.
 ///
 /// Requests with short prompts are packed onto few engines: decoding requests hardly slow down each other, but a long
@@ -142,15 +153,55 @@
     placer.place_split()
 }
 
+/// The engines that are preferred for requests with short prompts.
+pub fn short_set(
+    requirements: &Requirements,
+    profile: &Profile,
+    engines: &[Engine],
+) -> Vec<TargetKey> {
+    let placer = Placer::new(requirements, profile, engines, 0);
+    let preferred = placer.order[..placer.short_engines].iter();
+    preferred.map(|engine| engine.key).collect()
+}
+
 /// Number of engines for requests with short prompts. One engine in eight stays for long prompts.
 fn short_engines(order: &[&Engine], profile: &Profile, unseen: f64) -> usize {
-    let short = order
-        .iter()
-        .fold(0u32, |sum, engine| sum.saturating_add(engine.load.short));
     let each = (f64::from(profile.slots) * TARGET_FILL).max(1.0);
-    let needed = ((f64::from(short) + unseen.max(MIN_UNSEEN)) / each).ceil() as usize + 1;
-    let long_engines = order.len().div_ceil(8);
-    needed.min(order.len().saturating_sub(long_engines).max(1))
+    let needed = ((short_requests(order) + unseen.max(MIN_UNSEEN)) / each).ceil() as usize + 1;
+    needed.min(max_short_engines(order))
+}
+
+/// The same for one domain whose allocator grants the slots. It knows what runs, so fewer slots are kept free.
+fn permitted_engines(domain: &[&Engine], profile: &Profile) -> usize {
+    let each = (f64::from(profile.slots) * PERMITTED_FILL).max(1.0);
+    let needed = ((short_requests(domain) + 1.0) / each).ceil() as usize;
+    needed.min(max_short_engines(domain))
+}
+
+fn short_requests(engines: &[&Engine]) -> f64 {
+    let short = engines.iter().map(|engine| engine.load.short);
+    f64::from(short.fold(0, u32::saturating_add))
+}
+
+fn max_short_engines(engines: &[&Engine]) -> usize {
+    let long_engines = engines.len().div_ceil(8);
+    engines.len().saturating_sub(long_engines).max(1)
+}
+
+/// Orders the engines so that those for short prompts of each domain come first; returns their number. Each domain's
+/// allocator counts only the engines of its own domain.
+fn order_by_domain(order: &mut Vec<&Engine>, profile: &Profile) -> usize {
+    order.sort_by(|a, b| a.target.domain.cmp(&b.target.domain));
+    let (mut short, mut long) = (Vec::new(), Vec::new());
+    for domain in order.chunk_by(|a, b| a.target.domain == b.target.domain) {
+        let (first, rest) = domain.split_at(permitted_engines(domain, profile));
+        short.extend_from_slice(first);
+        long.extend_from_slice(rest);
+    }
+    let count = short.len();
+    short.append(&mut long);
+    *order = short;
+    count
 }
 
 impl<'a> Placer<'a> {
@@ -162,7 +213,10 @@
     ) -> Placer<'a> {
         let mut order: Vec<&Engine> = engines.iter().collect();
         order.sort_by_key(|engine| (engine.slowdown >= SLOW_FROM, engine.key));
-        let short_engines = short_engines(&order, profile, requirements.unseen);
+        let short_engines = match requirements.permits {
+            true => order_by_domain(&mut order, profile),
+            false => short_engines(&order, profile, requirements.unseen),
+        };
         Placer {
             order,
             prefill_time: profile.prefill_time(requirements.prompt),
--- a/src/entry/serve/find.rs
+++ b/src/entry/serve/find.rs
@@ -3,6 +3,7 @@
 use smol::Timer;
 
 use super::outcome::GivenUp;
+use super::permit::Permission;
 use super::{
     Exchange, InFlight, RouteKind, PLACEMENT_INTERVAL, RETRY_AFTER, RETRY_AFTER_UNAVAILABLE,
 };
@@ -22,7 +23,7 @@
 const QUEUE_DIVISOR: u32 = 2;
 
 /// Tokens as an engine counts them. A prompt beyond any engine's memory stays one.
-fn saturate(tokens: Tokens) -> u32 {
+pub(super) fn saturate(tokens: Tokens) -> u32 {
     u32::try_from(tokens).unwrap_or(u32::MAX)
 }
 
@@ -43,6 +44,13 @@
 impl Exchange {
     /// Finds a placement, waiting for one if necessary. How long depends on the kind of route.
     pub(super) async fn find_placement(&self) -> Result<(Placement, InFlight), GivenUp> {
+        if self.hold_time().is_none() && self.needs_permit() {
+            match self.request_permit().await {
+                Permission::Granted(placement, in_flight) => return Ok((placement, in_flight)),
+                Permission::Refused(given_up) => return Err(given_up),
+                Permission::Unavailable => {}
+            }
+        }
         let instance = &self.instance;
         let max_wait = match self.route.kind {
             // A caller that already has events cannot be told to retry.
@@ -155,6 +163,15 @@
 
     /// Adds the request to the view with its rank among conflicting claims; `held` if it is not sent yet.
     pub(super) fn start(&self, placement: &Placement, held: bool, rank: u32) -> InFlight {
+        self.start_with(placement, held, rank, 0)
+    }
+
+    /// Adds a request to the view that has a permit.
+    pub(super) fn start_permitted(&self, placement: &Placement, permit: u64) -> InFlight {
+        self.start_with(placement, false, 0, permit)
+    }
+
+    fn start_with(&self, placement: &Placement, held: bool, rank: u32, permit: u64) -> InFlight {
         let instance = &self.instance;
         let helpers = placement.helpers.iter();
         let number = instance.view.borrow_mut().start(Work {
@@ -171,6 +188,9 @@
             start: instance.clock.now(),
             tokens: placement.primary_tokens,
         });
+        if !held {
+            instance.announce_start(placement.primary.key(), number, permit);
+        }
         InFlight {
             instance: instance.clone(),
             number,
@@ -270,6 +290,7 @@
             deadline: self.time_left_to_start(now),
             gap: self.route.gap,
             objective: (self.arrival + self.route.objective).saturating_sub(now),
+            permits: self.instance.uses_permits(),
             prompt: saturate(prompt.tokens),
             tokens: saturate(prompt.tokens.saturating_add(prompt.max_tokens)),
             unseen: unseen_requests(short, peer::interval(&self.instance)),
--- a/src/entry/serve/in_flight.rs
+++ b/src/entry/serve/in_flight.rs
@@ -34,7 +34,10 @@
     /// Removes the request from the view although it has not ended, because its memory has expired: its engines are free
     /// for others.
     pub(in crate::entry) fn leave_view(&self) {
-        self.instance.view.borrow_mut().finish(self.number);
+        let finished = self.instance.view.borrow_mut().finish(self.number);
+        if let Some(target) = finished {
+            self.instance.announce_end(target);
+        }
     }
 }
 
--- a/src/entry/serve/mod.rs
+++ b/src/entry/serve/mod.rs
@@ -6,6 +6,7 @@
 mod in_flight;
 mod open;
 mod outcome;
+mod permit;
 mod quarantine;
 mod record;
 mod send;
--- a/src/entry/serve/send.rs
+++ b/src/entry/serve/send.rs
@@ -144,7 +144,10 @@
             match lost(loss.as_ref()).await {
                 // The engines end the request if the memory has expired there too.
                 Loss::Expired => {
-                    instance.view.borrow_mut().finish(number);
+                    let finished = instance.view.borrow_mut().finish(number);
+                    if let Some(target) = finished {
+                        instance.announce_end(target);
+                    }
                     self.expired.close();
                     std::future::pending().await
                 }
--- a/src/entry/settings.rs
+++ b/src/entry/settings.rs
@@ -26,8 +26,12 @@
     pub instance: InstanceId,
     /// Address of this instance.
     pub ip: IpAddr,
+    /// Number of known instances from which requests with short prompts need permits; none if they never do.
+    pub permit_instances: Option<usize>,
     /// Port for heartbeats and transfers between instances; the same on all instances.
     pub peer_port: u16,
+    /// Share of a processor core; allocators are chosen among the instances with the larger shares.
+    pub processor: f64,
     /// Addresses of some instances; may be stale.
     pub seeds: Vec<IpAddr>,
 }
@@ -46,6 +50,8 @@
             instance: "local-1".into(),
             ip: IpAddr::from([127, 0, 0, 1]),
             peer_port: 7340,
+            permit_instances: None,
+            processor: 1.0,
             seeds: Vec::new(),
         }
     }
--- a/src/entry/view.rs
+++ b/src/entry/view.rs
@@ -1,5 +1,6 @@
 use std::time::Duration;
 
+use super::permit::Update;
 use super::{Backlog, Heartbeat, Load, Prefill, Row, TargetKey};
 use crate::id::{Incarnation, InstanceId};
 
@@ -42,10 +43,31 @@
     pub tokens: u32,
 }
 
+/// A slot that this instance granted and whose use is not confirmed yet.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Permit {
+    /// Time at which it expires without a confirmation.
+    pub expires: Duration,
+    /// Largest gap between events that the request tolerates.
+    pub gap: Duration,
+    /// Number; unique at this instance.
+    pub number: u64,
+    /// Prefill time of the prompt.
+    pub part_time: Duration,
+    /// Time at which it was granted.
+    pub start: Duration,
+    /// The target.
+    pub target: TargetKey,
+    /// Tokens of context.
+    pub tokens: u32,
+}
+
 /// Work of all instances at the targets, as far as this one knows.
 #[derive(Clone, Debug, Default)]
 pub struct View {
     last_number: u64,
+    /// Slots that this instance granted and whose use is not confirmed yet.
+    permits: Vec<Permit>,
     /// This instance's requests, sorted by number.
     own: Vec<OwnRequest>,
     /// Sorted by instance.
@@ -67,6 +89,14 @@
 }
 
 impl OwnPrefill {
+    /// The prompt as in a heartbeat that is sent now.
+    fn aged(&self, now: Duration) -> Prefill {
+        Prefill {
+            age_ms: millis(now.saturating_sub(self.start)),
+            ..self.prefill.clone()
+        }
+    }
+
     fn retention(&self) -> Duration {
         let part = Duration::from_millis(u64::from(self.prefill.part_ms));
         if part <= SHORT_PART {
@@ -94,6 +124,43 @@
     prefills: Vec<PeerPrefill>,
     rows: Vec<Row>,
     sequence: u64,
+    /// Changes of single rows that are newer than the last heartbeat, in order of their sequence.
+    updates: Vec<Update>,
+}
+
+impl Peer {
+    /// Its work at each target.
+    fn current_rows(&self) -> impl Iterator<Item = &Row> {
+        let newest = |row: &Row| {
+            let updates = self.updates.iter().rev();
+            updates
+                .map(|update| &update.row)
+                .find(|updated| updated.target == row.target)
+        };
+        let known = |target| self.rows.iter().any(|row| row.target == target);
+        let added = self.updates.iter().enumerate().filter(move |(at, update)| {
+            let later = &self.updates[at + 1..];
+            let is_newest = later
+                .iter()
+                .all(|later| later.row.target != update.row.target);
+            is_newest && !known(update.row.target)
+        });
+        let rows = self.rows.iter().map(move |row| newest(row).unwrap_or(row));
+        rows.chain(added.map(|(_, update)| &update.row))
+    }
+}
+
+impl Permit {
+    /// Its load as that of one request.
+    fn row(&self) -> Row {
+        Row {
+            gap_ms: millis(self.gap),
+            short: 1,
+            running: 1,
+            target: self.target,
+            tokens: self.tokens,
+        }
+    }
 }
 
 impl View {
@@ -128,14 +195,12 @@
         }
     }
 
-    /// Removes a request.
-    pub fn finish(&mut self, number: u64) {
-        if let Ok(at) = self
+    /// Removes a request; returns the target that got it, if the request was still there and not only held.
+    pub fn finish(&mut self, number: u64) -> Option<TargetKey> {
+        let found = self
             .own
-            .binary_search_by_key(&number, |request| request.number)
-        {
-            self.own.remove(at);
-        }
+            .binary_search_by_key(&number, |request| request.number);
+        let removed = found.ok().map(|at| self.own.remove(at).work);
         match self.prefill(number) {
             // The end of the request also ended its prefill.
             Ok(at) if !self.prefills[at].prefill.finished => {
@@ -143,6 +208,58 @@
             }
             Ok(_) | Err(_) => {}
         }
+        removed.filter(|work| !work.held).map(|work| work.primary)
+    }
+
+    /// Work of this instance at one target, and the prompt of the request `number`, for an update.
+    pub fn own_work(
+        &self,
+        target: TargetKey,
+        number: Option<u64>,
+        now: Duration,
+    ) -> (Row, Option<Prefill>) {
+        let mut rows = self.rows();
+        let row = *row(&mut rows, target);
+        let found = number.and_then(|number| self.prefill(number).ok());
+        (row, found.map(|at| self.prefills[at].aged(now)))
+    }
+
+    /// Adds a slot that was granted to a request of any instance.
+    pub fn grant(&mut self, permit: Permit) {
+        self.permits.push(permit);
+    }
+
+    /// Removes a granted slot whose use is confirmed, or that is not used.
+    pub fn end_permit(&mut self, number: u64) -> bool {
+        let before = self.permits.len();
+        self.permits.retain(|permit| permit.number != number);
+        self.permits.len() < before
+    }
+
+    /// Applies the change of another instance's work at one target. Ignored if the instance is not known by a heartbeat,
+    /// or if a later heartbeat of it was applied.
+    pub fn update(
+        &mut self,
+        instance: &str,
+        incarnation: Incarnation,
+        update: &Update,
+        now: Duration,
+    ) {
+        let found = self
+            .peers
+            .binary_search_by(|known| known.instance.as_str().cmp(instance));
+        let Some(peer) = found.ok().map(|at| &mut self.peers[at]) else {
+            return;
+        };
+        let last = peer.updates.last().map_or(0, |update| update.sequence);
+        let is_new = update.sequence > peer.sequence.max(last);
+        if peer.incarnation != incarnation || !is_new {
+            return;
+        }
+        if let Some(prefill) = &update.prefill {
+            insert_prefill(&mut peer.prefills, track(&[], prefill, now));
+        }
+        peer.updates.push(update.clone());
     }
 
     fn prefill(&self, number: u64) -> Result<usize, usize> {
@@ -162,13 +279,24 @@
         }
         let known = before.map_or(&[][..], |known| &known.prefills[..]);
         let prefills = heartbeat.prefills.iter();
+        let mut prefills: Vec<PeerPrefill> =
+            prefills.map(|prefill| track(known, prefill, now)).collect();
+        let updates: Vec<Update> = before.map_or(Vec::new(), |known| {
+            let updates = known.updates.iter();
+            let is_newer = |update: &&Update| update.sequence > heartbeat.sequence;
+            updates.filter(is_newer).cloned().collect()
+        });
+        for prefill in updates.iter().filter_map(|update| update.prefill.as_ref()) {
+            insert_prefill(&mut prefills, track(known, prefill, now));
+        }
         let peer = Peer {
             incarnation: heartbeat.incarnation,
             instance: heartbeat.instance.clone(),
             last_heartbeat: now,
-            prefills: prefills.map(|prefill| track(known, prefill, now)).collect(),
+            prefills,
             rows: heartbeat.rows.clone(),
             sequence: heartbeat.sequence,
+            updates,
         };
         match found {
             Ok(at) => self.peers[at] = peer,
@@ -208,6 +336,7 @@
 
     /// Removes instances without recent heartbeats, and prompts that were prefilled long ago.
     pub fn expire(&mut self, now: Duration) {
+        self.permits.retain(|permit| now < permit.expires);
         self.prefills
             .retain(|own| !own.prefill.finished || now < own.start + own.retention());
         self.peers
@@ -242,11 +371,7 @@
 
     /// This instance's prompts in prefill or recently prefilled.
     pub fn prefills(&self, now: Duration) -> Vec<Prefill> {
-        let aged = |own: &OwnPrefill| Prefill {
-            age_ms: millis(now.saturating_sub(own.start)),
-            ..own.prefill.clone()
-        };
-        self.prefills.iter().map(aged).collect()
+        self.prefills.iter().map(|own| own.aged(now)).collect()
     }
 
     /// Load of each target from all instances, sorted by target.
@@ -270,7 +395,7 @@
             .iter()
             .filter(|peer| now < peer.last_heartbeat + PEER_TIMEOUT)
         {
-            for row in &peer.rows {
+            for row in peer.current_rows() {
                 add_row(&mut loads, row);
             }
             for prefill in &peer.prefills {
@@ -283,6 +408,11 @@
                 );
             }
         }
+        for permit in self.permits.iter().filter(|permit| now < permit.expires) {
+            add_row(&mut loads, &permit.row());
+            let backlog = backlog(&mut backlogs, permit.target);
+            backlog.add(permit.start, permit.part_time, false, false);
+        }
         for (target, backlog) in backlogs {
             let load = load(&mut loads, target);
             load.backlog = backlog.ahead(now);
@@ -308,6 +438,15 @@
     }
 }
 
+/// Adds a prompt unless it is known.
+fn insert_prefill(prefills: &mut Vec<PeerPrefill>, prefill: PeerPrefill) {
+    let number = prefill.prefill.number;
+    let found = prefills.binary_search_by_key(&number, |known| known.prefill.number);
+    if let Err(at) = found {
+        prefills.insert(at, prefill);
+    }
+}
+
 /// Milliseconds as in a heartbeat; times beyond 49 days count as that long.
 fn millis(time: Duration) -> u32 {
     u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
@@ -361,13 +500,16 @@
         if prefill.held {
             load(loads, *target).held = true;
         }
-        let found = backlogs.binary_search_by_key(target, |(target, _)| *target);
-        let at = found.unwrap_or_else(|at| {
-            backlogs.insert(at, (*target, Backlog::default()));
-            at
-        });
-        backlogs[at]
-            .1
-            .add(start, part, prefill.background, prefill.finished);
+        let backlog = backlog(backlogs, *target);
+        backlog.add(start, part, prefill.background, prefill.finished);
     }
 }
+
+fn backlog(backlogs: &mut Vec<(TargetKey, Backlog)>, target: TargetKey) -> &mut Backlog {
+    let found = backlogs.binary_search_by_key(&target, |(target, _)| *target);
+    let at = found.unwrap_or_else(|at| {
+        backlogs.insert(at, (target, Backlog::default()));
+        at
+    });
+    &mut backlogs[at].1
+}
--- a/tests/entry_sim/mod.rs
+++ b/tests/entry_sim/mod.rs
@@ -309,6 +309,7 @@
             deadline: (caller.arrival + caller.class.deadline()).saturating_sub(now),
             gap: caller.class.gap(),
             objective: (attempt.arrival + caller.class.objective()).saturating_sub(now),
+            permits: false,
             prompt: caller.prompt,
             tokens: caller.prompt + 700,
             unseen: unseen_requests(short, interval),
