admission: Refuse long prompts that cannot be in time

Cause: a long prompt without a placement is refused only after a whole objective, although it is often clear at arrival that the engines left cannot prefill it in time, and each caller gets a retry time of 0.7 s.

Change: instances announce waiting long prompts in heartbeats as prompts without targets. A prediction by the backlogs, the engines that become free and the work ahead refuses a prompt that misses its objective even by an optimistic estimate, with a retry time from the same estimate. The setting admission.long_prompts enables it; absent means off.

--- a/src/entry/engine.rs
+++ b/src/entry/engine.rs
@@ -43,16 +43,18 @@
         ((profile.step + context) * profile.stride).mul_f64(self.slowdown)
     }
 
-    /// Prefill time, at the profile's speed, that can be added without exceeding the gap that a request there
-    /// tolerates; none if no request there has a limit.
-    pub fn prefill_room(&self, profile: &Profile) -> Option<Duration> {
+    /// Prefill time, at the profile's speed, that fits into the gap that a request there tolerates; none if no request
+    /// there has a limit.
+    pub fn part_limit(&self, profile: &Profile) -> Option<Duration> {
         let gap = self.load.gap?;
         let limit = gap.saturating_sub(self.pass_time(profile) + GAP_MARGIN);
-        Some(
-            limit
-                .div_f64(self.slowdown)
-                .saturating_sub(self.load.backlog),
-        )
+        Some(limit.div_f64(self.slowdown))
+    }
+
+    /// The same without what is used by its backlog.
+    pub fn prefill_room(&self, profile: &Profile) -> Option<Duration> {
+        let limit = self.part_limit(profile)?;
+        Some(limit.saturating_sub(self.load.backlog))
     }
 
     /// Whether a part that takes `part_time` at the profile's speed can be added.
--- a/src/entry/heartbeat.rs
+++ b/src/entry/heartbeat.rs
@@ -21,7 +21,7 @@
     pub tokens: u32,
 }
 
-/// A prompt whose parts were sent to targets, one part to each.
+/// A prompt whose parts were sent to targets, one part to each, or a long prompt that waits for targets.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Prefill {
     /// Time since its targets were chosen, in milliseconds.
@@ -30,14 +30,14 @@
     pub background: bool,
     /// Number of the request at its instance.
     pub number: u64,
-    /// Prefill time of each part, in milliseconds.
+    /// Prefill time of each part, in milliseconds; of the whole prompt on one target if it waits.
     pub part_ms: u32,
     /// Random tie-breaker: of two prompts for which the same targets were chosen at the same time, the lower rank is
     /// sent.
     pub rank: u32,
     /// Whether all parts are processed. Such a prompt is still reported, since it delayed other parts at its targets.
     pub finished: bool,
-    /// The targets.
+    /// The targets; empty if the prompt waits, which is no load.
     pub targets: Vec<TargetKey>,
     /// Whether the targets are only held: the prompt is sent when earlier work there has ended.
     pub held: bool,
@@ -60,7 +60,7 @@
     pub instance: InstanceId,
     /// Slowdowns of engines that the sender measured recently, in percent.
     pub slowdowns: Vec<(TargetKey, u32)>,
-    /// The sender's prompts in prefill, and those that finished it recently.
+    /// The sender's prompts in prefill, those that finished it recently, and those that wait, sorted by number.
     pub prefills: Vec<Prefill>,
     /// The sender's running requests, sorted by target.
     pub rows: Vec<Row>,
--- a/src/entry/metric.rs
+++ b/src/entry/metric.rs
@@ -12,6 +12,8 @@
 /// Metrics of an entry instance. `docs/metrics-entry.md` lists them.
 #[derive(Clone, Debug)]
 pub struct Metrics {
+    /// Long prompts that were refused because they cannot be in time, by reason.
+    pub admission_refusals: IntCounterVec,
     /// Fragments of prompts that are banned.
     pub banned_fragments: IntGauge,
     /// Version of the configuration in force.
@@ -46,6 +48,12 @@
         let registry = Registry::new();
         let r = &registry;
         Ok(Metrics {
+            admission_refusals: counters(
+                r,
+                "entry_admission_refusals_total",
+                "Long prompts that were refused because they cannot be in time.",
+                &["reason"],
+            )?,
             heartbeats: counter(r, "entry_beats_total", "Beats sent to other instances.")?,
             banned_fragments: gauge(
                 r,
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -5,6 +5,7 @@
 //! follows ([`Fold`]). Callers, targets and the log are reached through the traits of [`platform`], so tests run the
 //! decisions without a socket. `docs/notes/platform.md` describes the parts and what each does when another one fails.
 
+pub mod admission;
 mod answer;
 mod apply;
 mod backlog;
@@ -65,7 +66,8 @@
 pub use pauses::{pause_time, Pauses};
 pub use pick::pick;
 pub use place::{
-    place, place_held, survey, unseen_requests, Choice, Helper, Placement, Requirements, Survey,
+    is_long, place, place_held, survey, unseen_requests, usable, Choice, Helper, Placement,
+    Requirements, Survey, Usable,
 };
 pub use position::Position;
 pub use quarantine::Quarantine;
--- a/src/entry/peer.rs
+++ b/src/entry/peer.rs
@@ -7,6 +7,7 @@
 use smol::net::{TcpListener, UdpSocket};
 use smol::Timer;
 
+use super::admission::is_plausible;
 use super::platform::{LocalBoxFuture, Topic};
 use super::{transfer, Fanout, Heartbeat, Instance};
 use crate::event;
@@ -260,6 +261,16 @@
 
 fn receive(instance: &Instance, heartbeat: &Heartbeat, from: SocketAddr) {
     let now = instance.clock.now();
+    if !is_plausible(&heartbeat.prefills) {
+        event!(
+            warn,
+            instance.source,
+            "beat_implausible",
+            from = heartbeat.instance.as_str(),
+            prefills = heartbeat.prefills.len()
+        );
+        return;
+    }
     instance.clock.merge(heartbeat.time);
     if !instance.view.borrow_mut().receive(heartbeat, now) {
         return;
--- a/src/entry/place/hold.rs
+++ b/src/entry/place/hold.rs
@@ -5,7 +5,7 @@
 use crate::entry::{Engine, Profile, TargetKey};
 
 /// Time within which requests that write at an engine are expected to end.
-const WRITE_TIME: Duration = Duration::from_secs(1);
+pub(super) const WRITE_TIME: Duration = Duration::from_secs(1);
 
 /// Minimum time until a held engine that is not ready is expected to be; instances look about as often.
 const MIN_WAIT: Duration = Duration::from_millis(25);
--- a/src/entry/place/mod.rs
+++ b/src/entry/place/mod.rs
@@ -5,6 +5,7 @@
 mod single;
 mod split;
 mod survey;
+mod usable;
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -12,10 +13,12 @@
 use super::{Engine, Profile, Target};
 
 pub use hold::place_held;
+pub(super) use split::BACKGROUND_SHARE;
 pub use survey::{survey, Survey};
+pub use usable::{is_long, usable, Usable};
 
 /// Maximum number of engines that prefill one prompt: the primary and sixteen helpers.
-const MAX_PARTS: usize = 17;
+pub(super) const MAX_PARTS: usize = 17;
 
 /// Share of an engine's slots that requests with short prompts are expected to fill. The rest takes what other
 /// instances send before their next heartbeat.
@@ -147,10 +150,19 @@
     let short = order
         .iter()
         .fold(0u32, |sum, engine| sum.saturating_add(engine.load.short));
+    short_engines_for(
+        f64::from(short) + unseen.max(MIN_UNSEEN),
+        order.len(),
+        profile,
+    )
+}
+
+/// The same for this number of such requests at `all` engines.
+fn short_engines_for(requests: f64, all: usize, profile: &Profile) -> usize {
     let each = (f64::from(profile.slots) * TARGET_FILL).max(1.0);
-    let needed = ((f64::from(short) + unseen.max(MIN_UNSEEN)) / each).ceil() as usize + 1;
-    let long_engines = order.len().div_ceil(8);
-    needed.min(order.len().saturating_sub(long_engines).max(1))
+    let needed = (requests / each).ceil() as usize + 1;
+    let long_engines = all.div_ceil(8);
+    needed.min(all.saturating_sub(long_engines).max(1))
 }
 
 impl<'a> Placer<'a> {
--- a/src/entry/place/split.rs
+++ b/src/entry/place/split.rs
@@ -24,7 +24,7 @@
 
 /// Share of the remaining time within which the prefill of a background request has to finish, as predicted without
 /// newer work.
-const BACKGROUND_SHARE: f64 = 0.6;
+pub(in crate::entry) const BACKGROUND_SHARE: f64 = 0.6;
 
 /// Number of free engines with which a background request is sent, if not all are free: three times what it gets at most,
 /// so that prompts which can still be on time find enough.
@@ -57,7 +57,7 @@
 
     /// Whether the parts of the prompt are so short that they can be processed on engines that decode with the same
     /// gap.
-    fn is_short(&self) -> bool {
+    pub(super) fn is_short(&self) -> bool {
         let parts = self.order.len().clamp(1, MAX_PARTS) as u32;
         let shortest = self.requirements.gap.min(self.requirements.objective);
         let tolerated = shortest.saturating_sub(self.profile.pass_time()) / 4;
--- a/src/entry/serve/find.rs
+++ b/src/entry/serve/find.rs
@@ -4,7 +4,8 @@
 
 use super::outcome::GivenUp;
 use super::{
-    Exchange, InFlight, RouteKind, PLACEMENT_INTERVAL, RETRY_AFTER, RETRY_AFTER_UNAVAILABLE,
+    Admission, Exchange, InFlight, RouteKind, PLACEMENT_INTERVAL, RETRY_AFTER,
+    RETRY_AFTER_UNAVAILABLE,
 };
 use crate::entry::proof::Guards;
 use crate::entry::{
@@ -22,7 +23,7 @@
 const QUEUE_DIVISOR: u32 = 2;
 
 /// Tokens as an engine counts them. A prompt beyond any engine's memory stays one.
-fn saturate(tokens: Tokens) -> u32 {
+pub(super) fn saturate(tokens: Tokens) -> u32 {
     u32::try_from(tokens).unwrap_or(u32::MAX)
 }
 
@@ -57,6 +58,7 @@
         let since = instance.clock.now();
         let until = since + max_wait;
         let mut hold = None;
+        let mut admission = Admission::new(self);
         loop {
             let choice = match (self.hold_time(), &hold) {
                 (Some(_), _) => Choice::Wait,
@@ -70,6 +72,7 @@
                     return Ok((placement, in_flight));
                 }
                 Choice::Place(placement) => {
+                    admission.withdraw();
                     if let Some(in_flight) = self.claim(&placement).await {
                         return Ok((placement, in_flight));
                     }
@@ -78,9 +81,19 @@
                 Choice::Keep => {}
                 Choice::Refuse => break,
                 Choice::Hold(_) | Choice::Wait if instance.clock.now() >= until => break,
-                Choice::Hold(placement) if self.may_hold() => hold = Some(self.hold(&placement)),
-                Choice::Hold(_) => {}
-                Choice::Wait => hold = None,
+                Choice::Hold(placement) if self.may_hold() => {
+                    admission.withdraw();
+                    hold = Some(self.hold(&placement));
+                }
+                Choice::Hold(_) => admission.announce(instance),
+                // Without the hold, a placement may be possible at once.
+                Choice::Wait if hold.is_some() => hold = None,
+                Choice::Wait => {
+                    let left = until.saturating_sub(instance.clock.now());
+                    if let Some(given_up) = admission.wait(self, left) {
+                        return Err(given_up);
+                    }
+                }
             }
             Timer::after(PLACEMENT_INTERVAL).await;
         }
@@ -92,7 +105,8 @@
             // Callers that return at the same time would find one target, or one trial.
             Some(left) => (Kind::Overloaded, left.mul_f64(1.0 + fastrand::f64() / 2.0)),
             None if !instance.engines(&self.service, &[], true).is_empty() => {
-                (Kind::Overloaded, RETRY_AFTER)
+                let retry = admission.retry(self).unwrap_or(RETRY_AFTER);
+                (Kind::Overloaded, retry)
             }
             None => (Kind::Unavailable, RETRY_AFTER_UNAVAILABLE),
         };
--- a/src/entry/serve/mod.rs
+++ b/src/entry/serve/mod.rs
@@ -1,5 +1,6 @@
 //! Serving of a caller's request: admission, placement, sending and retries.
 
+mod admission;
 mod attempt;
 mod find;
 mod hold;
@@ -28,6 +29,7 @@
 use crate::event;
 use crate::id::WorkspaceId;
 
+use admission::Admission;
 use attempt::Attempt;
 pub(super) use in_flight::InFlight;
 pub(super) use open::{Opening, RETRY_INTERVAL};
--- a/src/entry/settings.rs
+++ b/src/entry/settings.rs
@@ -6,6 +6,8 @@
 /// Identity and limits of an instance.
 #[derive(Clone, Debug)]
 pub struct Settings {
+    /// Whether a long prompt that cannot be in time is refused without a wait.
+    pub admits_long_prompts: bool,
     /// Time after which an acknowledged configuration has to be in force.
     pub apply_bound: Duration,
     /// Retries of all instances together, as a share of the requests.
@@ -35,6 +37,7 @@
 impl Default for Settings {
     fn default() -> Settings {
         Settings {
+            admits_long_prompts: false,
             apply_bound: Duration::from_secs(2),
             budget_ratio: 0.2,
             budget_slack: 100.0,
--- a/src/entry/view.rs
+++ b/src/entry/view.rs
@@ -1,5 +1,6 @@
 use std::time::Duration;
 
+use super::admission::{is_waiting, Waiting, Waitlist};
 use super::{Backlog, Heartbeat, Load, Prefill, Row, TargetKey};
 use crate::id::{Incarnation, InstanceId};
 
@@ -17,6 +18,10 @@
 /// Maximum prefill time of a short part.
 const SHORT_PART: Duration = Duration::from_millis(60);
 
+/// Time without a heartbeat after which an instance's waiting prompts are not counted: two heartbeats at the lowest rate
+/// were lost. A cut between domains must not leave prompts of the other side ahead of those of this one.
+const WAITING_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// A request of this instance and the engines that were chosen for it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Work {
@@ -52,6 +57,8 @@
     peers: Vec<Peer>,
     /// This instance's prompts in prefill or recently prefilled, sorted by number.
     prefills: Vec<OwnPrefill>,
+    /// This instance's long prompts without a placement.
+    waiting: Waitlist,
 }
 
 #[derive(Clone, Debug)]
@@ -145,6 +152,37 @@
         }
     }
 
+    /// Adds a waiting prompt of this instance; returns its number.
+    pub fn start_waiting(&mut self, waiting: Waiting) -> u64 {
+        self.last_number += 1;
+        self.waiting.add(self.last_number, waiting);
+        self.last_number
+    }
+
+    /// Removes a waiting prompt.
+    pub fn finish_waiting(&mut self, number: u64) {
+        self.waiting.remove(number);
+    }
+
+    /// Prefill time, on one engine, of the prompts of all instances that have waited for the same service since before
+    /// a prompt of this instance.
+    pub fn waiting_ahead(&self, number: u64, now: Duration) -> Duration {
+        let Some(own) = self.waiting.get(number) else {
+            return Duration::ZERO;
+        };
+        let is_heard = |peer: &&Peer| now < peer.last_heartbeat + WAITING_TIMEOUT;
+        let peers = self.peers.iter().filter(is_heard);
+        let prefills = peers.flat_map(|peer| &peer.prefills);
+        let others = prefills.filter(|other| is_waiting(&other.prefill));
+        let others = others.map(|other| Waiting::new(&other.prefill, other.start));
+        others
+            .chain(self.waiting.all())
+            .filter(|other| other.precedes(&own))
+            .fold(Duration::ZERO, |sum, other| {
+                sum.saturating_add(other.prefill_time)
+            })
+    }
+
     fn prefill(&self, number: u64) -> Result<usize, usize> {
         self.prefills
             .binary_search_by_key(&number, |own| own.prefill.number)
@@ -240,13 +278,17 @@
         rows
     }
 
-    /// This instance's prompts in prefill or recently prefilled.
+    /// This instance's prompts in prefill or recently prefilled, and those that wait, sorted by number.
     pub fn prefills(&self, now: Duration) -> Vec<Prefill> {
         let aged = |own: &OwnPrefill| Prefill {
             age_ms: millis(now.saturating_sub(own.start)),
             ..own.prefill.clone()
         };
-        self.prefills.iter().map(aged).collect()
+        let mut prefills: Vec<Prefill> = self.prefills.iter().map(aged).collect();
+        prefills.extend(self.waiting.announced(now));
+        // Receivers search by number.
+        prefills.sort_unstable_by_key(|prefill| prefill.number);
+        prefills
     }
 
     /// Load of each target from all instances, sorted by target.
@@ -309,7 +351,7 @@
 }
 
 /// Milliseconds as in a heartbeat; times beyond 49 days count as that long.
-fn millis(time: Duration) -> u32 {
+pub(super) fn millis(time: Duration) -> u32 {
     u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
 }
 
--- a/tests/entry_sim/loss.rs
+++ b/tests/entry_sim/loss.rs
@@ -82,6 +82,12 @@
         attempt.number < MAX_ATTEMPTS && attempt.past.ran == 0
     }
 
+    /// Whether a request may have run, or its caller has a part of the answer.
+    pub(super) fn has_run(&self, at: usize) -> bool {
+        let attempt = &self.attempts[at];
+        attempt.past.ran > 0 || self.callers[attempt.caller].first_event.is_some()
+    }
+
     /// Ends or stalls a request whose engines are out of reach. A request that was just `sent` did not run.
     pub(super) fn lose_request(&mut self, at: usize, sent: bool, now: Duration) {
         let attempt = &self.attempts[at];
--- a/tests/entry_sim/mod.rs
+++ b/tests/entry_sim/mod.rs
@@ -3,6 +3,7 @@
 
 #![allow(dead_code)]
 
+mod admission;
 mod day;
 mod engine;
 mod faults;
@@ -89,12 +90,16 @@
 /// A request of a caller at an instance.
 struct Attempt {
     arrival: Duration,
+    /// Its number among the waiting prompts of its instance.
+    announced: Option<u64>,
     caller: usize,
     /// The engines that are held for it.
     hold: Option<Hold>,
     instance: usize,
     number: u32,
     past: Past,
+    /// Time after which its caller returns if it is refused.
+    retry: Duration,
     /// Time from which it waits for a placement.
     since: Duration,
     stage: Stage,
@@ -115,6 +120,7 @@
 }
 
 pub(crate) struct Simulation {
+    admits_long_prompts: bool,
     attempts: Vec<Attempt>,
     callers: Vec<Caller>,
     engines: Vec<Engine>,
@@ -143,6 +149,7 @@
 
     pub(crate) fn new(traffic: &Traffic) -> Simulation {
         Simulation {
+            admits_long_prompts: traffic.admits_long_prompts,
             attempts: Vec::new(),
             callers: Vec::new(),
             engines: engines(traffic.engines),
@@ -209,6 +216,8 @@
     fn attempt(&mut self, caller: usize, number: u32, at: Duration) {
         let instance = self.draw_instance(at);
         self.attempts.push(Attempt {
+            announced: None,
+            retry: RETRY_AFTER,
             arrival: at,
             caller,
             hold: None,
@@ -317,6 +326,7 @@
 
     fn choose(&mut self, at: usize, now: Duration) {
         let since = self.attempts[at].since;
+        self.withdraw(at);
         let Some((requirements, engines)) = self.choose_held(at, now) else {
             return;
         };
@@ -327,7 +337,10 @@
             Choice::Hold(placement) if now < since + class.objective() => {
                 self.hold(at, &placement, now);
             }
-            Choice::Wait if now < since + class.objective() => {
+            Choice::Wait
+                if now < since + class.objective()
+                    && self.may_wait(at, &requirements, &engines, now) =>
+            {
                 self.attempts[at].stage = Stage::Waiting(now + ATTEMPT_INTERVAL);
             }
             Choice::Hold(_) | Choice::Keep | Choice::Wait | Choice::Refuse => {
@@ -338,12 +351,13 @@
 
     /// Refuses a request; its caller returns to any instance.
     fn refuse(&mut self, at: usize, now: Duration) {
+        self.withdraw(at);
         let may_return = self.may_return(at);
         let attempt = &mut self.attempts[at];
         attempt.stage = Stage::Over;
-        let (caller, number) = (attempt.caller, attempt.number);
+        let (caller, number, retry) = (attempt.caller, attempt.number, attempt.retry);
         if may_return {
-            self.attempt(caller, number + 1, now + RETRY_AFTER);
+            self.attempt(caller, number + 1, now + retry);
         } else {
             self.give_up(caller);
         }
--- a/tests/entry_sim/traffic.rs
+++ b/tests/entry_sim/traffic.rs
@@ -70,6 +70,8 @@
 /// Callers, and the fleet that serves them.
 #[derive(Clone, Debug)]
 pub(crate) struct Traffic {
+    /// Whether long prompts that cannot be in time are refused without a wait.
+    pub(crate) admits_long_prompts: bool,
     pub(crate) engines: usize,
     pub(crate) faults: Faults,
     pub(crate) instances: usize,
@@ -82,6 +84,7 @@
 impl Default for Traffic {
     fn default() -> Traffic {
         Traffic {
+            admits_long_prompts: false,
             engines: 195,
             faults: Faults::default(),
             instances: 32,
