--- a/tests/entry_metrics.rs
+++ b/tests/entry_metrics.rs
@@ -13,6 +13,10 @@
         .first_event
         .with_label_values(&["stream"])
         .observe(0.1);
+    metrics
+        .admission_refusals
+        .with_label_values(&["ahead"])
+        .inc();
     metrics.requests.with_label_values(&["stream", "ok"]).inc();
     metrics.panics.with_label_values(&["probe"]).inc();
     metrics.sends.with_label_values(&["opened"]).inc();
