--- a/src/entry/peer.rs
+++ b/src/entry/peer.rs
@@ -7,6 +7,7 @@
 use smol::net::{TcpListener, UdpSocket};
 use smol::Timer;
 
+use super::admission::is_plausible;
 use super::permit::{check_row, Envelope, Malformed};
 use super::platform::{LocalBoxFuture, Topic};
 use super::{permits, transfer, Fanout, Heartbeat, Instance};
@@ -320,6 +321,16 @@
         );
         return;
     }
+    if !is_plausible(&heartbeat.prefills) {
+        event!(
+            warn,
+            instance.source,
+            "beat_implausible",
+            from = heartbeat.instance.as_str(),
+            prefills = heartbeat.prefills.len()
+        );
+        return;
+    }
     instance.clock.merge(heartbeat.time);
     if !instance.view.borrow_mut().receive(heartbeat, now) {
         return;
--- a/src/entry/place/mod.rs
+++ b/src/entry/place/mod.rs
@@ -5,6 +5,7 @@
 mod single;
 mod split;
 mod survey;
+mod usable;
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -12,10 +13,12 @@
 use super::{Engine, Profile, Target, TargetKey};
 
 pub use hold::place_held;
+pub(super) use split::BACKGROUND_SHARE;
 pub use survey::{survey, Survey};
+pub use usable::{is_long, usable, Usable};
 
 /// Maximum number of engines that prefill one prompt: the primary and sixteen helpers.
-const MAX_PARTS: usize = 17;
+pub(super) const MAX_PARTS: usize = 17;
 
 /// Share of an engine's slots that requests with short prompts are expected to fill. The rest takes what other
 /// instances send before their next heartbeat.
@@ -126,11 +129,6 @@
     short_engines: usize,
 }
 
-/// Whether a prompt is short: it is placed on a single engine.
-pub fn is_single(profile: &Profile, prompt: u32) -> bool {
-    profile.prefill_time(prompt) <= SINGLE_LIMIT
-}
-
 /// Places a request on engines.
 ///
 /// Requests with short prompts are packed onto few engines: decoding requests hardly slow down each other, but a long
@@ -166,16 +164,22 @@
 
 /// Number of engines for requests with short prompts. One engine in eight stays for long prompts.
 fn short_engines(order: &[&Engine], profile: &Profile, unseen: f64) -> usize {
+    let requests = short_requests(order) + unseen.max(MIN_UNSEEN);
+    short_engines_for(requests, order.len(), profile)
+}
+
+/// The same for this number of such requests at `all` engines.
+fn short_engines_for(requests: f64, all: usize, profile: &Profile) -> usize {
     let each = (f64::from(profile.slots) * TARGET_FILL).max(1.0);
-    let needed = ((short_requests(order) + unseen.max(MIN_UNSEEN)) / each).ceil() as usize + 1;
-    needed.min(max_short_engines(order))
+    let needed = (requests / each).ceil() as usize + 1;
+    needed.min(max_short_engines(all))
 }
 
 /// The same for one domain whose allocator grants the slots. It knows what runs, so fewer slots are kept free.
 fn permitted_engines(domain: &[&Engine], profile: &Profile) -> usize {
     let each = (f64::from(profile.slots) * PERMITTED_FILL).max(1.0);
     let needed = ((short_requests(domain) + 1.0) / each).ceil() as usize;
-    needed.min(max_short_engines(domain))
+    needed.min(max_short_engines(domain.len()))
 }
 
 fn short_requests(engines: &[&Engine]) -> f64 {
@@ -183,9 +187,9 @@
     f64::from(short.fold(0, u32::saturating_add))
 }
 
-fn max_short_engines(engines: &[&Engine]) -> usize {
-    let long_engines = engines.len().div_ceil(8);
-    engines.len().saturating_sub(long_engines).max(1)
+fn max_short_engines(all: usize) -> usize {
+    let long_engines = all.div_ceil(8);
+    all.saturating_sub(long_engines).max(1)
 }
 
 /// Orders the engines so that those for short prompts of each domain come first; returns their number. Each domain's
--- a/src/entry/serve/permit.rs
+++ b/src/entry/serve/permit.rs
@@ -2,7 +2,7 @@
 use super::outcome::GivenUp;
 use super::{Exchange, InFlight};
 use crate::entry::permit::{Ask, Reply, MAX_EXCLUDED};
-use crate::entry::{is_single, Placement, TargetKey};
+use crate::entry::{is_long, Placement, TargetKey};
 use crate::error::Kind;
 use crate::event;
 use crate::id::DomainId;
@@ -34,7 +34,7 @@
         let is_free = !self.is_trial() && (!self.resumes || self.may_use_another());
         let is_short = self.service.profile.as_ref().is_some_and(|profile| {
             let prompt = self.request.prompt.unwrap_or_default().tokens;
-            is_single(profile, saturate(prompt))
+            !is_long(profile, saturate(prompt))
         });
         is_short && is_free && self.instance.uses_permits()
     }
