hedge: Add second sends for slow requests within a limit

Cause: a request without a stream waits for three objectives before another target is tried, so a few slow targets decide the slowest responses.

Change: with `[hedge] ratio` in the settings, a request of a repeatable route is sent to a second target once its first send has lasted for the measured quantile of the route. The first answer below 500 wins, and the other send is cancelled. Samples travel in heartbeats as a new last field. Hedges are limited by tokens that each request earns, by half of the retry budget, by `maxAttempts` and by free slots; otherwise they are withheld with a reason.

Not measured on a deployment.

--- a/src/entry/budgets.rs
+++ b/src/entry/budgets.rs
@@ -43,12 +43,24 @@
 
     /// Whether the budget allows another retry. `instances` share the slack.
     pub fn has_retry(&mut self, service: &str, instances: usize, now: Duration) -> bool {
+        let allowed = self.allowed(service, instances, now);
+        self.counts(service).retries.len() as f64 + 1.0 <= allowed
+    }
+
+    /// Retries that this instance may send in the window that ends now.
+    fn allowed(&mut self, service: &str, instances: usize, now: Duration) -> f64 {
         let (window, ratio) = (self.window, self.ratio);
         let slack = self.slack * USED_SHARE / instances.max(1) as f64;
         let counts = self.counts(service);
         counts.trim(now, window);
-        let allowed = ratio * USED_SHARE * counts.requests.len() as f64 + slack;
-        counts.retries.len() as f64 + 1.0 <= allowed
+        ratio * USED_SHARE * counts.requests.len() as f64 + slack
+    }
+
+    /// Whether less than half of the budget is used and it allows another retry. `instances` share the slack.
+    pub fn is_half_free(&mut self, service: &str, instances: usize, now: Duration) -> bool {
+        let allowed = self.allowed(service, instances, now);
+        let used = self.counts(service).retries.len() as f64;
+        used * 2.0 < allowed && used + 1.0 <= allowed
     }
 
     /// Spends one retry; false if the budget is used up. `instances` share the slack.
--- a/src/entry/config.rs
+++ b/src/entry/config.rs
@@ -1,6 +1,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use super::hedge::{route_key, RouteKey};
 use crate::id::WorkspaceId;
 
 /// Minimum time without an event after which the caller of a stream disconnects.
@@ -192,6 +193,8 @@
 /// One version of the configuration.
 #[derive(Clone, Debug, Default)]
 pub struct Config {
+    /// Keys of the routes with requests that may be hedged, sorted.
+    hedged: Vec<RouteKey>,
     keys: Vec<(String, usize)>,
     /// Limits for callers.
     pub limits: Limits,
@@ -213,6 +216,10 @@
     ) -> Config {
         let mut routes: Vec<Rc<Route>> = routes.into_iter().map(Rc::new).collect();
         routes.sort_by(|a, b| (&a.host, &a.prefix).cmp(&(&b.host, &b.prefix)));
+        let repeatable = |route: &&Rc<Route>| route.kind == RouteKind::Repeatable;
+        let hedged = routes.iter().filter(repeatable);
+        let mut hedged: Vec<RouteKey> = hedged.map(|route| route_key(&route.name)).collect();
+        hedged.sort_unstable();
         let mut services: Vec<Rc<Service>> = services.into_iter().map(Rc::new).collect();
         services.sort_by(|a, b| a.name.cmp(&b.name));
         let mut keys: Vec<(String, usize)> = Vec::new();
@@ -221,6 +228,7 @@
         }
         keys.sort();
         Config {
+            hedged,
             keys,
             limits,
             routes,
@@ -251,6 +259,17 @@
         None
     }
 
+    /// Whether a route with this key has requests that may be hedged.
+    pub fn has_hedged_route(&self, key: RouteKey) -> bool {
+        self.hedged.binary_search(&key).is_ok()
+    }
+
+    /// The longest timeout of a route.
+    pub fn longest_timeout(&self) -> Duration {
+        let timeouts = self.routes.iter().map(|route| route.timeout);
+        timeouts.max().unwrap_or_default()
+    }
+
     /// The service with this name.
     pub fn service(&self, name: &str) -> Option<&Rc<Service>> {
         let found = self
--- a/src/entry/heartbeat.rs
+++ b/src/entry/heartbeat.rs
@@ -2,6 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use super::hedge::Sample;
 use super::quarantine::Report;
 use super::{Position, TargetKey};
 use crate::id::{DomainId, Incarnation, InstanceId};
@@ -78,10 +79,15 @@
     pub reads: [bool; 3],
     /// Version of the operator's configuration that the sender knows; 0 before the first one.
     pub config: u64,
+    /// Times that the sender measured and that no earlier heartbeat carried, at most `hedge::MAX_SAMPLES`. Versions before
+    /// this field send heartbeats without it.
+    #[serde(default)]
+    pub samples: Vec<Sample>,
 }
 
 impl Heartbeat {
-    /// Whether it carries no news compared with the earlier heartbeat `before`.
+    /// Whether it carries no news compared with the earlier heartbeat `before`. Samples are no news, since they can wait
+    /// for the next heartbeat.
     pub fn repeats(&self, before: &Heartbeat) -> bool {
         let unfinished = |heartbeat: &Heartbeat| -> Vec<u64> {
             let prefills = heartbeat
--- a/src/entry/instance.rs
+++ b/src/entry/instance.rs
@@ -7,6 +7,7 @@
 use async_channel::{Receiver, Sender};
 use smol::LocalExecutor;
 
+use super::hedge::Hedging;
 use super::platform::{Decoder, Log, Notice, Targets, Topic};
 use super::{
     Budgets, ColdLimiter, Config, Directory, Engine, Fold, Health, Load, Members, Metrics, Pauses,
@@ -32,6 +33,7 @@
     pub(super) executor: Rc<LocalExecutor<'static>>,
     pub(super) folds: RefCell<[Fold; 3]>,
     pub(super) health: RefCell<Health>,
+    pub(super) hedging: RefCell<Hedging>,
     heartbeat_requests: (Sender<()>, Receiver<()>),
     /// Topics of which another instance has to be asked once what is not in the log.
     pub(super) must_ask: Cell<[bool; 3]>,
@@ -87,6 +89,7 @@
             executor,
             folds: RefCell::default(),
             health: RefCell::default(),
+            hedging: RefCell::default(),
             heartbeat_requests: async_channel::bounded(1),
             must_ask: Cell::default(),
             must_read: Cell::default(),
--- a/src/entry/metric.rs
+++ b/src/entry/metric.rs
@@ -20,6 +20,8 @@
     pub first_event: HistogramVec,
     /// Heartbeats sent.
     pub heartbeats: IntCounter,
+    /// Hedged and withheld second sends by outcome.
+    pub hedges: IntCounterVec,
     /// Calls to the log by topic and outcome.
     pub log_calls: IntCounterVec,
     /// Returns of the log from an older copy, by topic.
@@ -64,6 +66,12 @@
                 &["kind"],
                 &BUCKETS,
             )?,
+            hedges: counters(
+                r,
+                "entry_hedges_total",
+                "Second sends of slow requests.",
+                &["outcome"],
+            )?,
             panics: counters(
                 r,
                 "entry_panics_total",
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -21,6 +21,7 @@
 mod guard;
 mod health;
 mod heartbeat;
+pub mod hedge;
 mod instance;
 mod load;
 mod member;
@@ -72,7 +73,7 @@
 pub use reachability::Reachability;
 pub use relay::Relay;
 pub use request::{Prompt, Request};
-pub use settings::Settings;
+pub use settings::{Hedge, Settings};
 pub use slowdown::Slowdowns;
 pub use view::{View, Work};
 
--- a/src/entry/peer.rs
+++ b/src/entry/peer.rs
@@ -71,6 +71,7 @@
         }
         let all = now >= sent + IDLE_INTERVAL || sequence % 8 == 0;
         sequence += 1;
+        heartbeat.samples = instance.hedging.borrow_mut().outbox.take();
         heartbeat.sequence = sequence;
         heartbeat.time = instance.clock.tick();
         match encode(&heartbeat) {
@@ -180,6 +181,7 @@
         fragments: instance.quarantine.borrow().report(now),
         leaving: instance.directory.borrow().reports(now),
         reads: instance.reads.get(),
+        samples: Vec::new(),
     }
 }
 
@@ -265,6 +267,7 @@
         return;
     }
     instance.members.borrow_mut().receive(heartbeat, from, now);
+    instance.receive_samples(heartbeat, now);
     let mut slowdowns = instance.slowdowns.borrow_mut();
     for (target, percent) in &heartbeat.slowdowns {
         slowdowns.receive(
--- a/src/entry/serve/attempt.rs
+++ b/src/entry/serve/attempt.rs
@@ -14,8 +14,12 @@
 pub(super) struct Attempt {
     /// Closed when memory of the request has expired; no value is ever sent.
     pub(super) expiry: Receiver<Infallible>,
+    /// Whether the target was counted as one at which the request may have run.
+    pub(super) is_counted: bool,
     /// Whether the target has been silent for so long that another one is asked.
     pub(super) is_silent: bool,
+    /// Number of this send of the request.
+    pub(super) number: u32,
     pub(super) outcome: LocalBoxFuture<'static, Outcome>,
     /// Predicted time until the first event.
     pub(super) predicted: Duration,
@@ -23,7 +27,8 @@
     pub(super) target: Rc<Target>,
 }
 
-/// The sends of a request whose outcomes are not known yet, in order of their start. All but the newest one are silent.
+/// The sends of a request whose outcomes are not known yet, in order of their start. All but the newest one are silent or
+/// hedged, and counted.
 #[derive(Default)]
 pub(super) struct Attempts {
     list: Vec<Attempt>,
@@ -43,11 +48,28 @@
         self.list.last().filter(|attempt| !attempt.is_silent)
     }
 
-    /// Marks the target of the newest attempt as silent; returns the target and the start of the attempt.
-    pub(super) fn mark_silent(&mut self) -> Option<(Rc<Target>, Duration)> {
+    /// Marks the target of the newest attempt as silent and counted; returns the attempt.
+    pub(super) fn mark_silent(&mut self) -> Option<&Attempt> {
         let attempt = self.list.last_mut()?;
         attempt.is_silent = true;
-        Some((attempt.target.clone(), attempt.started))
+        attempt.is_counted = true;
+        Some(attempt)
+    }
+
+    /// Marks the newest attempt as counted.
+    pub(super) fn mark_counted(&mut self) {
+        if let Some(attempt) = self.list.last_mut() {
+            attempt.is_counted = true;
+        }
+    }
+
+    /// The first send of the request, if its outcome is not known.
+    pub(super) fn first(&self) -> Option<&Attempt> {
+        self.list.first().filter(|attempt| attempt.number == 1)
+    }
+
+    pub(super) fn len(&self) -> usize {
+        self.list.len()
     }
 
     /// Waits for the first attempt that ends and removes it; forever if there is none.
--- a/src/entry/serve/mod.rs
+++ b/src/entry/serve/mod.rs
@@ -2,6 +2,7 @@
 
 mod attempt;
 mod find;
+mod hedge;
 mod hold;
 mod in_flight;
 mod open;
@@ -229,6 +230,7 @@
         self.budgets
             .borrow_mut()
             .count_request(&service.name, arrival);
+        self.earn_hedge(&service.name);
         Ok(Exchange {
             arrival,
             content_type: None,
@@ -325,16 +327,16 @@
         }
     }
 
-    /// Counts the target of a send that ended, unless it was counted when it fell silent.
+    /// Counts the target of a send that ended, unless it was counted when it fell silent or was hedged.
     fn count_outcome(&mut self, attempt: &Attempt) {
-        if !attempt.is_silent {
+        if !attempt.is_counted {
             self.count_sent();
         }
     }
 
     /// Takes back what was counted for a send that its target did not run.
     fn discount(&mut self, attempt: &Attempt) {
-        if !attempt.is_silent {
+        if !attempt.is_counted {
             self.uncounted = None;
             self.cancel_trial();
             return;
--- a/src/entry/serve/open.rs
+++ b/src/entry/serve/open.rs
@@ -7,6 +7,7 @@
 use smol::Timer;
 
 use super::attempt::{Attempt, Attempts};
+use super::hedge::{Hedged, Winner};
 use super::outcome::{Buffered, GivenUp, Opened, Outcome};
 use super::{Exchange, InFlight, RouteKind, MAX_SENDS, PLACEMENT_INTERVAL, SILENCE_SHARE};
 use crate::entry::platform::Failure;
@@ -31,7 +32,7 @@
 
 /// What a request waits for besides the outcomes of its sends.
 #[derive(Clone, Copy, Debug)]
-enum Phase {
+pub(super) enum Phase {
     /// A placement.
     Find,
     /// Silence of the newest target.
@@ -41,10 +42,12 @@
 }
 
 /// What happened while a request waited.
-enum Progress {
+pub(super) enum Progress {
     Due,
     Ended(Attempt, Outcome),
     Found(Result<(Placement, InFlight), GivenUp>),
+    /// The first send is slower than most of its route.
+    Slow,
     Silent,
 }
 
@@ -76,14 +79,20 @@
 }
 
 /// The search for a target that answers a request.
-struct Search {
+pub(super) struct Search {
     /// The last error that a target answered with.
     answered: Option<Buffered>,
-    attempts: Attempts,
+    pub(super) attempts: Attempts,
+    /// The second send that was sent because the first one was slow, if any.
+    pub(super) hedged: Option<Hedged>,
+    /// Time at which the first send counts as slow, unless that was decided.
+    pub(super) slow_at: Option<Duration>,
     /// Whether the next send is taken from the retry budget.
-    is_retry: bool,
-    last_event_id: Option<u64>,
+    pub(super) is_retry: bool,
+    pub(super) last_event_id: Option<u64>,
     phase: Phase,
+    /// The send whose answer the caller gets, once it is known.
+    pub(super) winner: Option<Winner>,
 }
 
 impl Search {
@@ -107,9 +116,12 @@
         let mut search = Search {
             answered: None,
             attempts: Attempts::default(),
+            hedged: None,
+            slow_at: None,
             is_retry: self.resumes,
             last_event_id,
             phase: Phase::Find,
+            winner: None,
         };
         if search.is_retry && !self.may_retry() {
             return Opening::GivenUp(self.retries_exhausted());
@@ -129,6 +141,10 @@
                     self.begin(&mut search, placement, in_flight)
                 }
                 Progress::Found(Err(given_up)) => search.give_up(given_up),
+                Progress::Slow => {
+                    self.hedge(&mut search);
+                    None
+                }
                 Progress::Silent => {
                     self.record_silence(&mut search);
                     self.look_again(&mut search);
@@ -136,6 +152,7 @@
                 }
             };
             if let Some(opening) = opening {
+                self.end_hedge(&search, &opening);
                 return opening;
             }
         }
@@ -144,12 +161,16 @@
     async fn wait(&self, search: &mut Search) -> Progress {
         let phase = search.phase;
         let fresh = search.attempts.fresh().map(Silence::new);
+        let slow_at = search.slow_at;
         let event = async {
             match (phase, fresh) {
                 (Phase::Find, _) => Progress::Found(self.find_placement().await),
                 (Phase::Listen, Some(silence)) => {
-                    self.wait_for_silence(&silence).await;
-                    Progress::Silent
+                    let silent = async {
+                        self.wait_for_silence(&silence).await;
+                        Progress::Silent
+                    };
+                    or(silent, self.wait_until_slow(slow_at)).await
                 }
                 (Phase::Listen, None) | (Phase::Wait, _) => {
                     Timer::after(RETRY_INTERVAL.min(self.time_left())).await;
@@ -185,24 +206,33 @@
         if let Some(given_up) = self.check_fragments() {
             return search.give_up(given_up);
         }
-        let target = placement.primary.clone();
-        self.sends += 1;
-        self.tried.push(target.key());
-        self.uncounted = Some(target.key());
-        search
-            .attempts
-            .push(self.send(placement, in_flight, search.last_event_id));
+        self.push_send(search, placement, in_flight);
+        search.slow_at = self.slow_at();
         search.phase = Phase::Listen;
         None
     }
 
+    /// Starts the next send.
+    pub(super) fn push_send(
+        &mut self,
+        search: &mut Search,
+        placement: Placement,
+        in_flight: InFlight,
+    ) {
+        let key = placement.primary.key();
+        self.sends += 1;
+        self.tried.push(key);
+        self.uncounted = Some(key);
+        let attempt = self.send(placement, in_flight, search.last_event_id);
+        search.attempts.push(attempt);
+    }
+
     /// Records that the newest target is silent. The request may run there.
     fn record_silence(&mut self, search: &mut Search) {
-        let Some((target, started)) = search.attempts.mark_silent() else {
+        let Some(attempt) = search.attempts.mark_silent() else {
             return;
         };
-        let took = self.instance.clock.now().saturating_sub(started);
-        self.record(&target, &Outcome::Failed(Failure::Silent), took);
+        self.record(attempt, &Outcome::Failed(Failure::Silent));
         self.count_sent();
         search.is_retry = true;
     }
@@ -217,7 +247,11 @@
         let is_final_error = search.last_event_id.is_some();
         let verdict = self.judge(&attempt, outcome, is_final_error, &mut search.answered);
         let is_replaced = match verdict {
-            Verdict::Final(opening) => return Some(opening),
+            Verdict::Final(opening) => {
+                search.winner =
+                    matches!(opening, Opening::Answer(_)).then(|| Winner::new(&attempt));
+                return Some(opening);
+            }
             Verdict::Replace => true,
             Verdict::Retry => false,
         };
@@ -247,8 +281,7 @@
         answered: &mut Option<Buffered>,
     ) -> Verdict {
         let (target, key) = (&attempt.target, attempt.target.key());
-        let took = self.instance.clock.now().saturating_sub(attempt.started);
-        self.record(target, &outcome, took);
+        self.record(attempt, &outcome);
         if matches!(outcome, Outcome::Failed(Failure::Broken)) {
             self.confirm_end(target);
         }
@@ -257,7 +290,7 @@
         }
         match outcome {
             Outcome::Opened(opened) => {
-                match attempt.is_silent {
+                match attempt.is_counted {
                     // The newest target may have run the request too.
                     true => self.count_sent(),
                     false => self.uncounted = None,
@@ -328,7 +361,8 @@
         } = silence;
         let clock = &self.instance.clock;
         let may_retry = self.route.kind.is_repeatable()
-            && self.ran.len() + 1 < self.route.max_attempts as usize;
+            && self.ran.len() + usize::from(self.uncounted.is_some())
+                < self.route.max_attempts as usize;
         if !may_retry {
             Timer::after(self.time_left()).await;
             return;
--- a/src/entry/serve/record.rs
+++ b/src/entry/serve/record.rs
@@ -1,16 +1,19 @@
 use std::time::Duration;
 
+use super::attempt::Attempt;
 use super::outcome::Outcome;
 use super::Exchange;
 use crate::entry::platform::Failure;
-use crate::entry::{Health, Target};
+use crate::entry::Health;
 use crate::event;
 
 impl Exchange {
     /// Records the outcome of a send: health of the target, metrics and log.
-    pub(super) fn record(&self, target: &Target, outcome: &Outcome, took: Duration) {
+    pub(super) fn record(&self, attempt: &Attempt, outcome: &Outcome) {
+        let target = &attempt.target;
         let instance = &self.instance;
         let now = instance.clock.now();
+        let took = now.saturating_sub(attempt.started);
         let key = target.key();
         let name = {
             let mut health = instance.health.borrow_mut();
@@ -48,7 +51,7 @@
             "sent",
             request = self.request.id.as_str(),
             target = target.id.as_str(),
-            attempt = self.sends,
+            attempt = attempt.number,
             outcome = name,
             ms = took.as_millis() as u64
         );
--- a/src/entry/serve/send.rs
+++ b/src/entry/serve/send.rs
@@ -75,7 +75,9 @@
         let outcome = async move { delivery.run(placement, in_flight).await };
         Attempt {
             expiry,
+            is_counted: false,
             is_silent: false,
+            number: self.sends,
             outcome: Box::pin(outcome),
             predicted,
             started,
--- a/src/entry/settings.rs
+++ b/src/entry/settings.rs
@@ -3,6 +3,15 @@
 
 use crate::id::{DomainId, InstanceId};
 
+/// Limits of hedged requests.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Hedge {
+    /// Share of the requests of a route that are answered in time; a request that takes longer is hedged.
+    pub quantile: f64,
+    /// Hedges of all instances together, as a share of the requests of a service.
+    pub ratio: f64,
+}
+
 /// Identity and limits of an instance.
 #[derive(Clone, Debug)]
 pub struct Settings {
@@ -22,6 +31,8 @@
     pub domain: DomainId,
     /// Time after which a target whose leaving was acknowledged must get no request.
     pub drain_bound: Duration,
+    /// Hedged requests; none: no request is hedged.
+    pub hedge: Option<Hedge>,
     /// Name.
     pub instance: InstanceId,
     /// Address of this instance.
@@ -43,6 +54,7 @@
             cold_slack: 5.0,
             domain: "local".into(),
             drain_bound: Duration::from_secs(2),
+            hedge: None,
             instance: "local-1".into(),
             ip: IpAddr::from([127, 0, 0, 1]),
             peer_port: 7340,
--- a/tests/entry_core/mod.rs
+++ b/tests/entry_core/mod.rs
@@ -90,6 +90,11 @@
         let routes = vec![
             route("/", stream),
             route("/once/", RouteKind::Once),
+            Route {
+                max_attempts: 2,
+                name: "safe".into(),
+                ..route("/safe/", RouteKind::Repeatable)
+            },
             Route {
                 max_attempts: 2,
                 timeout: ms(15_000),
--- a/tests/entry_metrics.rs
+++ b/tests/entry_metrics.rs
@@ -15,6 +15,7 @@
         .observe(0.1);
     metrics.requests.with_label_values(&["stream", "ok"]).inc();
     metrics.panics.with_label_values(&["probe"]).inc();
+    metrics.hedges.with_label_values(&["sent"]).inc();
     metrics.sends.with_label_values(&["opened"]).inc();
     metrics
         .log_calls
