hedge: Remove measured times of routes without samples

Cause: the histograms of a route stayed after the route left the configuration, about 16 KB for each name.

Change: `Times::expire` removes routes without a sample in the window, as for other state of an instance.

--- a/src/entry/hedge/times.rs
+++ b/src/entry/hedge/times.rs
@@ -74,6 +74,12 @@
         recent.current.saturating_record(u64::from(ms.max(1)));
     }
 
+    /// Removes routes without a sample in the window.
+    pub fn expire(&mut self, now: Duration) {
+        self.routes
+            .retain(|(_, recent)| now.saturating_sub(recent.since) < TURN * 2);
+    }
+
     /// The time within which the share `quantile` of the requests of a route were answered; none with too few samples.
     pub fn quantile(&mut self, route: RouteKey, quantile: f64, now: Duration) -> Option<Duration> {
         let found = self.routes.binary_search_by_key(&route, |(key, _)| *key);
--- a/src/entry/instance.rs
+++ b/src/entry/instance.rs
@@ -340,6 +340,7 @@
         self.directory.borrow_mut().expire(now);
         self.slowdowns.borrow_mut().expire(now);
         self.pauses.borrow_mut().expire(now);
+        self.hedging.borrow_mut().times.expire(now);
         let mut quarantine = self.quarantine.borrow_mut();
         quarantine.expire(now);
         let banned = quarantine.all_banned();
--- a/tests/entry_hedge.rs
+++ b/tests/entry_hedge.rs
@@ -456,9 +456,14 @@
         times.quantile(1, 0.5, ms(36_000)).is_some(),
         "in the window"
     );
+    times.expire(ms(40_000));
+    assert!(times.quantile(1, 0.5, ms(40_000)).is_some(), "kept");
     assert_eq!(times.quantile(1, 0.5, Duration::MAX), None);
     times.record((1, 0), Duration::MAX);
     assert_eq!(times.quantile(2, 0.5, Duration::MAX), None, "unknown");
+    (0..count).for_each(|sample| times.record((3, sample), ms(20_000)));
+    times.expire(ms(50_000));
+    assert_eq!(times.quantile(3, 0.5, ms(20_000)), None, "removed");
 }
 
 /// Samples that no instance can have measured are recognized.
