--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -22,6 +22,7 @@
 mod guard;
 mod health;
 mod heartbeat;
+pub mod hedge;
 mod instance;
 mod load;
 mod member;
@@ -78,7 +79,7 @@
 pub use reachability::Reachability;
 pub use relay::Relay;
 pub use request::{Prompt, Request};
-pub use settings::Settings;
+pub use settings::{Hedge, Settings};
 pub use slowdown::Slowdowns;
 pub use view::{Permit, View, Work};
 
--- a/src/entry/peer.rs
+++ b/src/entry/peer.rs
@@ -35,7 +35,7 @@
 const PERMITS: u8 = 2;
 
 /// Second byte of a datagram: format of the heartbeat that follows.
-const FORMAT: u8 = 1;
+const FORMAT: u8 = 2;
 
 /// Maximum number of senders of another format that are remembered, to report each only once.
 const MAX_FOREIGN: usize = 1_024;
@@ -80,6 +80,7 @@
         }
         let all = now >= sent + IDLE_INTERVAL || sequence % 8 == 0;
         sequence += 1;
+        heartbeat.samples = instance.hedging.borrow_mut().outbox.take();
         heartbeat.sequence = instance.next_sequence();
         heartbeat.time = instance.clock.tick();
         match encode(&heartbeat) {
@@ -202,6 +203,7 @@
         leaving: instance.directory.borrow().reports(now),
         processor: instance.processor(),
         reads: instance.reads.get(),
+        samples: Vec::new(),
     }
 }
 
@@ -336,6 +338,7 @@
         return;
     }
     instance.members.borrow_mut().receive(heartbeat, from, now);
+    instance.receive_samples(heartbeat, now);
     let mut slowdowns = instance.slowdowns.borrow_mut();
     for (target, percent) in &heartbeat.slowdowns {
         slowdowns.receive(
