--- a/src/entry/admission/waiting.rs
+++ b/src/entry/admission/waiting.rs
@@ -55,9 +55,11 @@
         }
     }
 
-    /// Whether it is ahead of another prompt of its service.
+    /// Whether it is ahead of another prompt of its service. Larger prompts are not: they need more free engines at once,
+    /// so that smaller ones are placed before them.
     pub fn precedes(&self, other: &Waiting) -> bool {
         self.rank >> RANDOM_BITS == other.rank >> RANDOM_BITS
+            && self.prefill_time <= other.prefill_time
             && (self.start, self.rank) < (other.start, other.rank)
     }
 }
