late: Name the cause of a late response

The log has all times of a request, but an engineer had to compare them line by line to find out why its response was late.

Each request records its sends, its answer and the gaps of its stream. When the response ends or its caller leaves, a pure function of these times and of the route's objective and gap names the cause: the wait for a place, earlier attempts, the target's first event, its pause, or a caller that does not read. One log line `late`, one metric.

--- a/src/entry/metric.rs
+++ b/src/entry/metric.rs
@@ -20,6 +20,8 @@
     pub first_event: HistogramVec,
     /// Heartbeats sent.
     pub heartbeats: IntCounter,
+    /// Late responses by kind of route and cause.
+    pub late: IntCounterVec,
     /// Calls to the log by topic and outcome.
     pub log_calls: IntCounterVec,
     /// Returns of the log from an older copy, by topic.
@@ -77,6 +79,7 @@
                 &["kind", "outcome"],
             )?,
             sends: counters(r, "entry_sends_total", "Sends to targets.", &["outcome"])?,
+            late: counters(r, "entry_late_total", "Late responses.", &["kind", "cause"])?,
             log_calls: counters(
                 r,
                 "entry_log_calls_total",
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -22,6 +22,7 @@
 mod health;
 mod heartbeat;
 mod instance;
+pub mod late;
 mod load;
 mod member;
 mod metric;
--- a/src/entry/relay.rs
+++ b/src/entry/relay.rs
@@ -1,4 +1,5 @@
 use std::pin::pin;
+use std::rc::Rc;
 use std::time::Duration;
 
 use async_channel::Receiver;
@@ -33,7 +34,7 @@
     /// Gets the reason if memory of the request is lost; none if it has no memory, or if the reason is known.
     loss: Option<Receiver<Loss>>,
     resumable: bool,
-    target: std::rc::Rc<super::Target>,
+    target: Rc<super::Target>,
 }
 
 enum Step {
@@ -105,6 +106,9 @@
         if let Some(first_events) = self.first_events.take().filter(|events| !events.is_empty()) {
             return Some(Ok(first_events));
         }
+        let now = self.exchange.instance.clock.now();
+        let (last, target) = (self.events.last(), self.target.clone());
+        self.exchange.late.record_poll(last, now);
         loop {
             if self.ended {
                 return None;
@@ -121,7 +125,13 @@
             }
             match step {
                 Step::Bytes(bytes) if bytes.is_empty() => {}
-                Step::Bytes(bytes) => return Some(Ok(bytes)),
+                Step::Bytes(bytes) => {
+                    let now = self.exchange.instance.clock.now();
+                    let is_moved = !Rc::ptr_eq(&target, &self.target);
+                    let late = &self.exchange.late;
+                    late.record_events(&target, last, is_moved, now);
+                    return Some(Ok(bytes));
+                }
                 Step::End => {
                     self.exchange.record_answer();
                     self.end("ok");
@@ -352,9 +362,15 @@
         self.ended = true;
         let exchange = &self.exchange;
         let kind = exchange.route.kind.name();
+        if outcome != "ok" {
+            let now = exchange.instance.clock.now();
+            let last = self.events.last();
+            exchange.late.record_break(&self.target, last, now);
+        }
         exchange
             .instance
             .finish(kind, &exchange.request.id, exchange.arrival, outcome);
+        exchange.explain_lateness();
     }
 }
 
--- a/src/entry/serve/mod.rs
+++ b/src/entry/serve/mod.rs
@@ -20,6 +20,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::config::RouteKind;
+use super::late::Recorder;
 use super::platform::Failure;
 use super::{
     fragment_key, Answer, Content, FragmentKey, Instance, Relay, Request, Route, Service, TargetKey,
@@ -61,6 +62,8 @@
     content_type: Option<HeaderValue>,
     /// Fragments of the prompt that other requests may have too.
     fragments: Vec<FragmentKey>,
+    /// Times that explain a late response.
+    pub(super) late: Rc<Recorder>,
     priority: u8,
     /// Targets at which the request ran or may have run, which count toward the route's maximum: those that gave a
     /// complete answer, failed or fell silent. One that ended while it wrote a stream does not count.
@@ -84,15 +87,18 @@
     arrival: Duration,
     instance: &'a Instance,
     is_answered: bool,
-    kind: &'static str,
+    late: Rc<Recorder>,
     request: &'a Request,
+    route: Rc<Route>,
 }
 
 impl Drop for Unanswered<'_> {
     fn drop(&mut self) {
         if !self.is_answered {
             let (instance, id) = (self.instance, &self.request.id);
-            instance.finish(self.kind, id, self.arrival, "caller_left");
+            let kind = self.route.kind.name();
+            instance.finish(kind, id, self.arrival, "caller_left");
+            self.late.end(instance, self.request, &self.route);
         }
     }
 }
@@ -131,8 +137,9 @@
             arrival,
             instance: self,
             is_answered: false,
-            kind,
+            late: exchange.late.clone(),
             request: &request,
+            route: exchange.route.clone(),
         };
         let ended = async {
             self.wait_for_end().await;
@@ -162,10 +169,15 @@
             }
             Opening::Answer(reply) => {
                 self.finish(kind, &request.id, arrival, reply.status.as_str());
+                exchange.explain_lateness();
                 reply.into()
             }
             Opening::GivenUp(given_up) => {
                 self.finish(kind, &request.id, arrival, given_up.kind.name());
+                // A refusal has its own line.
+                if exchange.sends > 0 {
+                    exchange.explain_lateness();
+                }
                 match given_up.answered {
                     Some(reply) => reply.into(),
                     None => Answer::Refusal {
@@ -235,6 +247,7 @@
             instance: self.clone(),
             deadline: arrival + timeout,
             fragments,
+            late: Rc::new(Recorder::new(arrival)),
             priority: workspace
                 .and_then(|workspace| workspace.priority)
                 .unwrap_or(route.priority),
@@ -267,6 +280,11 @@
         }
     }
 
+    /// Logs and counts why the response was late, if it was.
+    pub(super) fn explain_lateness(&self) {
+        self.late.end(&self.instance, &self.request, &self.route);
+    }
+
     /// Remembers the head of the stream that the caller gets.
     pub(super) fn begin_stream(&mut self, headers: &HeaderMap) {
         self.content_type = headers.get(CONTENT_TYPE).cloned();
--- a/src/entry/serve/open.rs
+++ b/src/entry/serve/open.rs
@@ -189,9 +189,10 @@
         self.sends += 1;
         self.tried.push(target.key());
         self.uncounted = Some(target.key());
-        search
-            .attempts
-            .push(self.send(placement, in_flight, search.last_event_id));
+        let attempt = self.send(placement, in_flight, search.last_event_id);
+        self.late
+            .record_send(&attempt.target, attempt.predicted, attempt.started);
+        search.attempts.push(attempt);
         search.phase = Phase::Listen;
         None
     }
@@ -217,7 +218,15 @@
         let is_final_error = search.last_event_id.is_some();
         let verdict = self.judge(&attempt, outcome, is_final_error, &mut search.answered);
         let is_replaced = match verdict {
-            Verdict::Final(opening) => return Some(opening),
+            Verdict::Final(opening) => {
+                let now = self.instance.clock.now();
+                let Attempt {
+                    predicted, started, ..
+                } = attempt;
+                self.late
+                    .record_answer(&attempt.target, predicted, started, now);
+                return Some(opening);
+            }
             Verdict::Replace => true,
             Verdict::Retry => false,
         };
