--- a/src/entry/instance.rs
+++ b/src/entry/instance.rs
@@ -7,16 +7,22 @@
 use async_channel::{Receiver, Sender};
 use smol::LocalExecutor;
 
+use super::held::{Held, Uploads};
 use super::platform::{Decoder, Log, Notice, Targets, Topic};
 use super::{
     Budgets, ColdLimiter, Config, Directory, Engine, Fold, Health, Load, Members, Metrics, Pauses,
     Quarantine, Reachability, Service, Settings, Slowdowns, Target, TargetKey, View,
 };
 use crate::clock::Clock;
+use crate::error::Kind;
 use crate::event;
 use crate::event::Source;
 use crate::id::Incarnation;
 
+/// Shortest retry time of a caller that is refused at the limit on held bytes: a slow caller takes about as long to read
+/// what is held for it.
+const HELD_RETRY: Duration = Duration::from_secs(1);
+
 /// An entry instance: its state, and its connections to the platform.
 pub struct Instance {
     /// Times at which the current eras of the topics became known.
@@ -33,6 +39,7 @@
     pub(super) folds: RefCell<[Fold; 3]>,
     pub(super) health: RefCell<Health>,
     heartbeat_requests: (Sender<()>, Receiver<()>),
+    pub(super) held: Rc<Held>,
     /// Topics of which another instance has to be asked once what is not in the log.
     pub(super) must_ask: Cell<[bool; 3]>,
     /// Topics that have to be read from the log once, because other instances did not pass them on.
@@ -53,6 +60,7 @@
     pub(super) refusing: Cell<bool>,
     pub(super) stopping: Cell<bool>,
     tickets: Cell<u64>,
+    pub(super) uploads: Uploads,
     pub(super) log: Rc<dyn Log>,
     pub(super) targets: Rc<dyn Targets>,
     pub(super) view: RefCell<View>,
@@ -76,6 +84,7 @@
             settings.budget_slack,
             settings.budget_window,
         );
+        let metrics = Metrics::new()?;
         Ok(Rc::new(Instance {
             adopted: Cell::default(),
             budgets: RefCell::new(budgets),
@@ -88,12 +97,13 @@
             folds: RefCell::default(),
             health: RefCell::default(),
             heartbeat_requests: async_channel::bounded(1),
+            held: Rc::new(Held::new(&metrics, &settings)),
             must_ask: Cell::default(),
             must_read: Cell::default(),
             reads: Cell::default(),
             incarnation: fastrand::u64(1..),
             members: RefCell::new(Members::new(&*settings.instance)),
-            metrics: Metrics::new()?,
+            metrics,
             pauses: RefCell::default(),
             slowdowns: RefCell::default(),
             source: Source::new(clock.clone(), &*settings.instance, &*settings.domain),
@@ -105,6 +115,7 @@
             refusing: Cell::new(false),
             stopping: Cell::new(false),
             tickets: Cell::new(0),
+            uploads: Uploads::default(),
             log,
             targets,
             view: RefCell::default(),
@@ -168,10 +179,37 @@
 
     /// Replaces the settings. Addresses that are listened on, and the retry budgets, stay as they were at the start.
     pub fn reload(&self, settings: Settings) {
+        self.held.set_limit(settings.held_max_bytes);
         *self.settings.borrow_mut() = settings;
         event!(self.source, "settings_reloaded");
     }
 
+    /// What the instance holds for its callers.
+    pub fn held(&self) -> &Rc<Held> {
+        &self.held
+    }
+
+    /// Refuses a request before its body is read if the limit on held bytes is reached: the time after which the caller
+    /// may retry, as none of the request has run.
+    pub fn refuse_body(&self, id: &str) -> Option<Duration> {
+        if self.held.has_room() {
+            return None;
+        }
+        let now = self.clock.now();
+        if self.held.take_line(now) {
+            event!(
+                warn,
+                self.source,
+                "held_limit",
+                held_bytes = self.held.total(),
+                max_bytes = self.held.limit()
+            );
+        }
+        self.finish("none", id, now, Kind::Unavailable.name());
+        // Callers that return at the same time would fill the memory again at once.
+        Some(HELD_RETRY.mul_f64(1.0 + fastrand::f64() / 2.0))
+    }
+
     /// The source of this instance's log lines.
     pub fn source(&self) -> &Source {
         &self.source
--- a/src/entry/metric.rs
+++ b/src/entry/metric.rs
@@ -1,8 +1,8 @@
 use prometheus::{
-    Encoder, HistogramVec, IntCounter, IntCounterVec, IntGauge, Registry, TextEncoder,
+    Encoder, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Registry, TextEncoder,
 };
 
-use crate::metric::build::{counter, counters, gauge, histograms};
+use crate::metric::build::{counter, counters, gauge, gauges, histograms};
 
 /// Histogram bounds for first events and whole answers in seconds; the objectives lie in the middle.
 const BUCKETS: [f64; 12] = [
@@ -20,6 +20,8 @@
     pub first_event: HistogramVec,
     /// Heartbeats sent.
     pub heartbeats: IntCounter,
+    /// Bytes held by purpose.
+    pub held_bytes: IntGaugeVec,
     /// Late responses by kind of route and cause.
     pub late: IntCounterVec,
     /// Calls to the log by topic and outcome.
@@ -79,6 +81,12 @@
                 &["kind", "outcome"],
             )?,
             sends: counters(r, "entry_sends_total", "Sends to targets.", &["outcome"])?,
+            held_bytes: gauges(
+                r,
+                "entry_held_bytes",
+                "Bytes of request bodies, buffered answers and unread events.",
+                &["kind"],
+            )?,
             late: counters(r, "entry_late_total", "Late responses.", &["kind", "cause"])?,
             log_calls: counters(
                 r,
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -21,6 +21,7 @@
 mod guard;
 mod health;
 mod heartbeat;
+pub mod held;
 mod instance;
 pub mod late;
 mod load;
--- a/src/entry/serve/find.rs
+++ b/src/entry/serve/find.rs
@@ -239,6 +239,7 @@
                 return Choice::Refuse;
             }
         }
+        self.pass_over_full(&mut engines);
         if self.is_trial() {
             keep_least_loaded(&mut engines);
         }
@@ -261,6 +262,26 @@
         place(&self.requirements(&engines, now), profile, &engines, seed)
     }
 
+    /// Lets a request with a body pass over targets that have not answered many bytes of other bodies from this instance,
+    /// unless all usable ones have.
+    fn pass_over_full(&self, engines: &mut [Engine]) {
+        let instance = &self.instance;
+        let max_bytes = instance.settings.borrow().held_target_bytes;
+        let Some(max_bytes) = max_bytes.filter(|_| !self.request.body.is_empty()) else {
+            return;
+        };
+        let has_room = |engine: &Engine| instance.uploads.bytes(engine.key) <= max_bytes;
+        if !engines
+            .iter()
+            .any(|engine| engine.admits && has_room(engine))
+        {
+            return;
+        }
+        for engine in engines {
+            engine.admits &= has_room(engine);
+        }
+    }
+
     /// What the request needs at `now` from one or more of `engines`.
     pub(super) fn requirements(&self, engines: &[Engine], now: Duration) -> Requirements {
         let prompt = self.request.prompt.unwrap_or_default();
--- a/src/entry/serve/send.rs
+++ b/src/entry/serve/send.rs
@@ -11,6 +11,7 @@
 use super::attempt::Attempt;
 use super::outcome::{Buffered, Opened, Outcome};
 use super::{Exchange, InFlight, RouteKind};
+use crate::entry::held::Kind;
 use crate::entry::platform::{Call, Failure, Reply};
 use crate::entry::proof::{Evidence, Guards, Verdict};
 use crate::entry::reservation::{lost, Loss, Memory};
@@ -135,7 +136,12 @@
             workspace: self.workspace.clone(),
         };
         let exchange = async {
-            match instance.targets.send(call).await {
+            let upload = instance
+                .uploads
+                .start(target.key(), call.request.body.len());
+            let answered = instance.targets.send(call).await;
+            drop(upload);
+            match answered {
                 Ok(reply) => self.receive(reply, in_flight, &target).await,
                 Err(failure) => Outcome::Failed(failure),
             }
@@ -173,7 +179,7 @@
         }
         let is_stream = matches!(self.route.kind, RouteKind::Stream { .. });
         if !is_stream || !reply.status.is_success() {
-            return match read_body(&mut reply).await {
+            return match self.read_body(&mut reply).await {
                 Ok(body) => Outcome::Answered(Buffered {
                     body,
                     headers: reply.headers,
@@ -219,15 +225,18 @@
         reply.status == StatusCode::OK
             && reply.headers.get(CONTENT_TYPE) == self.content_type.as_ref()
     }
-}
 
-async fn read_body(reply: &mut Reply) -> Result<Bytes, Failure> {
-    let mut body = Vec::new();
-    while let Some(chunk) = reply.body.next().await {
-        body.extend_from_slice(&chunk?);
-        if body.len() > MAX_BUFFERED_BYTES {
-            return Err(Failure::Broken);
+    async fn read_body(&self, reply: &mut Reply) -> Result<Bytes, Failure> {
+        let mut body = Vec::new();
+        let mut held = self.instance.held.count(Kind::Answer);
+        while let Some(chunk) = reply.body.next().await {
+            let chunk = chunk?;
+            body.extend_from_slice(&chunk);
+            held.add(chunk.len());
+            if body.len() > MAX_BUFFERED_BYTES {
+                return Err(Failure::Broken);
+            }
         }
+        Ok(held.keep(Bytes::from(body)))
     }
-    Ok(Bytes::from(body))
 }
--- a/src/entry/settings.rs
+++ b/src/entry/settings.rs
@@ -22,6 +22,10 @@
     pub domain: DomainId,
     /// Time after which a target whose leaving was acknowledged must get no request.
     pub drain_bound: Duration,
+    /// Limit on the bytes that are held for callers; none if there is no limit and streams are not read ahead.
+    pub held_max_bytes: Option<u64>,
+    /// Limit on the unanswered bytes of request bodies at one target; none if there is none.
+    pub held_target_bytes: Option<u64>,
     /// Name.
     pub instance: InstanceId,
     /// Address of this instance.
@@ -43,6 +47,8 @@
             cold_slack: 5.0,
             domain: "local".into(),
             drain_bound: Duration::from_secs(2),
+            held_max_bytes: None,
+            held_target_bytes: None,
             instance: "local-1".into(),
             ip: IpAddr::from([127, 0, 0, 1]),
             peer_port: 7340,
--- a/src/metric/build.rs
+++ b/src/metric/build.rs
@@ -1,7 +1,7 @@
 use prometheus::{core::Collector, Gauge};
 use prometheus::{
-    Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, Opts, Registry,
-    Result,
+    Histogram, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts,
+    Registry, Result,
 };
 
 /// Prefix of all metric names.
@@ -42,6 +42,16 @@
     register(registry, IntGauge::with_opts(options(name, help))?)
 }
 
+/// Registers an integer gauge with labels.
+pub(crate) fn gauges(
+    registry: &Registry,
+    name: &str,
+    help: &str,
+    labels: &[&str],
+) -> Result<IntGaugeVec> {
+    register(registry, IntGaugeVec::new(options(name, help), labels)?)
+}
+
 /// Registers a histogram with these bucket bounds.
 pub(crate) fn histogram(
     registry: &Registry,
--- a/tests/entry_metrics.rs
+++ b/tests/entry_metrics.rs
@@ -20,6 +20,7 @@
         .log_calls
         .with_label_values(&["operator", "ok"])
         .inc();
+    metrics.held_bytes.with_label_values(&["body"]).set(1);
     metrics.late.with_label_values(&["stream", "place"]).inc();
     metrics.log_restores.with_label_values(&["operator"]).inc();
     let page = String::from_utf8(metrics.text()).unwrap();
