--- a/src/entry/instance.rs
+++ b/src/entry/instance.rs
@@ -8,6 +8,7 @@
 use smol::LocalExecutor;
 
 use super::hedge::Hedging;
+use super::held::{Held, Uploads};
 use super::permits::Permits;
 use super::platform::{Decoder, Log, Notice, Targets, Topic};
 use super::{
@@ -15,10 +16,15 @@
     Quarantine, Reachability, Service, Settings, Slowdowns, Target, TargetKey, View,
 };
 use crate::clock::Clock;
+use crate::error::Kind;
 use crate::event;
 use crate::event::Source;
 use crate::id::Incarnation;
 
+/// Shortest retry time of a caller that is refused at the limit on held bytes: a slow caller takes about as long to read
+/// what is held for it.
+const HELD_RETRY: Duration = Duration::from_secs(1);
+
 /// An entry instance: its state, and its connections to the platform.
 pub struct Instance {
     /// Times at which the current eras of the topics became known.
@@ -36,6 +42,7 @@
     pub(super) health: RefCell<Health>,
     pub(super) hedging: RefCell<Hedging>,
     heartbeat_requests: (Sender<()>, Receiver<()>),
+    pub(super) held: Rc<Held>,
     /// Topics of which another instance has to be asked once what is not in the log.
     pub(super) must_ask: Cell<[bool; 3]>,
     /// Topics that have to be read from the log once, because other instances did not pass them on.
@@ -59,6 +66,7 @@
     pub(super) refusing: Cell<bool>,
     pub(super) stopping: Cell<bool>,
     tickets: Cell<u64>,
+    pub(super) uploads: Uploads,
     pub(super) log: Rc<dyn Log>,
     pub(super) targets: Rc<dyn Targets>,
     pub(super) view: RefCell<View>,
@@ -82,6 +90,7 @@
             settings.budget_slack,
             settings.budget_window,
         );
+        let metrics = Metrics::new()?;
         Ok(Rc::new(Instance {
             adopted: Cell::default(),
             budgets: RefCell::new(budgets),
@@ -95,12 +104,13 @@
             health: RefCell::default(),
             hedging: RefCell::default(),
             heartbeat_requests: async_channel::bounded(1),
+            held: Rc::new(Held::new(&metrics, &settings)),
             must_ask: Cell::default(),
             must_read: Cell::default(),
             reads: Cell::default(),
             incarnation: fastrand::u64(1..),
             members: RefCell::new(Members::new(&*settings.instance)),
-            metrics: Metrics::new()?,
+            metrics,
             pauses: RefCell::default(),
             permits: Permits::default(),
             sequence: Cell::new(0),
@@ -114,6 +124,7 @@
             refusing: Cell::new(false),
             stopping: Cell::new(false),
             tickets: Cell::new(0),
+            uploads: Uploads::default(),
             log,
             targets,
             view: RefCell::default(),
@@ -177,10 +188,37 @@
 
     /// Replaces the settings. Addresses that are listened on, and the retry budgets, stay as they were at the start.
     pub fn reload(&self, settings: Settings) {
+        self.held.set_limit(settings.held_max_bytes);
         *self.settings.borrow_mut() = settings;
         event!(self.source, "settings_reloaded");
     }
 
+    /// What the instance holds for its callers.
+    pub fn held(&self) -> &Rc<Held> {
+        &self.held
+    }
+
+    /// Refuses a request before its body is read if the limit on held bytes is reached: the time after which the caller
+    /// may retry, as none of the request has run.
+    pub fn refuse_body(&self, id: &str) -> Option<Duration> {
+        if self.held.has_room() {
+            return None;
+        }
+        let now = self.clock.now();
+        if self.held.take_line(now) {
+            event!(
+                warn,
+                self.source,
+                "held_limit",
+                held_bytes = self.held.total(),
+                max_bytes = self.held.limit()
+            );
+        }
+        self.finish("none", id, now, Kind::Unavailable.name());
+        // Callers that return at the same time would fill the memory again at once.
+        Some(HELD_RETRY.mul_f64(1.0 + fastrand::f64() / 2.0))
+    }
+
     /// The source of this instance's log lines.
     pub fn source(&self) -> &Source {
         &self.source
--- a/src/entry/serve/open.rs
+++ b/src/entry/serve/open.rs
@@ -224,6 +224,8 @@
         self.tried.push(key);
         self.uncounted = Some(key);
         let attempt = self.send(placement, in_flight, search.last_event_id);
+        self.late
+            .record_send(&attempt.target, attempt.predicted, attempt.started);
         search.attempts.push(attempt);
     }
 
@@ -250,6 +252,12 @@
             Verdict::Final(opening) => {
                 search.winner =
                     matches!(opening, Opening::Answer(_)).then(|| Winner::new(&attempt));
+                let now = self.instance.clock.now();
+                let Attempt {
+                    predicted, started, ..
+                } = attempt;
+                self.late
+                    .record_answer(&attempt.target, predicted, started, now);
                 return Some(opening);
             }
             Verdict::Replace => true,
--- a/src/entry/settings.rs
+++ b/src/entry/settings.rs
@@ -35,6 +35,10 @@
     pub drain_bound: Duration,
     /// Hedged requests; none: no request is hedged.
     pub hedge: Option<Hedge>,
+    /// Limit on the bytes that are held for callers; none if there is no limit and streams are not read ahead.
+    pub held_max_bytes: Option<u64>,
+    /// Limit on the unanswered bytes of request bodies at one target; none if there is none.
+    pub held_target_bytes: Option<u64>,
     /// Name.
     pub instance: InstanceId,
     /// Address of this instance.
@@ -62,6 +66,8 @@
             domain: "local".into(),
             drain_bound: Duration::from_secs(2),
             hedge: None,
+            held_max_bytes: None,
+            held_target_bytes: None,
             instance: "local-1".into(),
             ip: IpAddr::from([127, 0, 0, 1]),
             peer_port: 7340,
