--- a/src/entry/permit/allocator.rs
+++ b/src/entry/permit/allocator.rs
@@ -25,8 +25,9 @@
 /// heartbeat old.
 const MIN_FREE_ELSEWHERE: u32 = 4;
 
-/// Passes of an engine until the first event: the one that runs when a prompt arrives, and the one that prefills it.
-const PASSES_TO_FIRST_EVENT: u32 = 2;
+/// Passes of an engine until the first event: half of the one that runs when a prompt arrives, the one that prefills it,
+/// and one for parts of other prompts that arrive later and are processed first.
+const PASSES_TO_FIRST_EVENT: f64 = 2.5;
 
 /// Free slots of another domain's engines for short prompts.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -48,6 +49,17 @@
     pub profile: Profile,
 }
 
+impl Known {
+    /// Mean time of a decode pass of the engines, with what runs there.
+    fn pass_time(&self) -> Duration {
+        let passes = self.engines.iter();
+        let sum: Duration = passes.map(|engine| engine.pass_time(&self.profile)).sum();
+        let count = u32::try_from(self.engines.len()).unwrap_or(u32::MAX);
+        sum.checked_div(count)
+            .unwrap_or_else(|| self.profile.pass_time())
+    }
+}
+
 /// The engines of the allocator's domain.
 pub trait Slots {
     /// What is known now for a decision on this ask; none if its service is not known.
@@ -158,7 +170,7 @@
             }
             Decision::Elsewhere(domain) => vec![answered(Reply::Elsewhere { domain })],
             Decision::Grant(_) | Decision::Full => {
-                let mut answers = self.enqueue(asker, ask, &known.profile, now);
+                let mut answers = self.enqueue(asker, ask, &known, now);
                 answers.extend(self.drain(slots, now));
                 answers
             }
@@ -280,16 +292,10 @@
     }
 
     /// Queues an ask or refuses it; refuses those that it displaces.
-    fn enqueue(
-        &mut self,
-        asker: Asker,
-        ask: Ask,
-        profile: &Profile,
-        now: Duration,
-    ) -> Vec<Answered> {
+    fn enqueue(&mut self, asker: Asker, ask: Ask, known: &Known, now: Duration) -> Vec<Answered> {
         let number = self.number();
-        let prefill = profile.prefill_time(ask.prompt);
-        let to_first_event = profile.pass_time() * PASSES_TO_FIRST_EVENT + prefill;
+        let prefill = known.profile.prefill_time(ask.prompt);
+        let to_first_event = known.pass_time().mul_f64(PASSES_TO_FIRST_EVENT) + prefill;
         let waiting = Waiting {
             arrival: now,
             cost: SLOT_TIME,
