permit: Add tests of grants, order, redirection and message limits

Cause: the allocator had no tests. Change: tests/entry_permits.rs plays it without a network: a lost grant, the order of the queue, one redirection, impossible messages.

--- /dev/null
+++ b/tests/entry_permits.rs
@@ -0,0 +1,150 @@
+//! Guards against slots that an allocator grants twice or loses, and against requests that wait for one in vain.
+
+mod entry_fixtures;
+mod permit_fixtures;
+
+use std::collections::BTreeSet;
+
+use entry_fixtures::ms;
+use jujubehook::entry::permit::{
+    elect, Allocator, Ask, Candidate, Envelope, Message, Reply, Room, Unresponsive, Update,
+};
+use jujubehook::entry::{Heartbeat, Row, View};
+use permit_fixtures::{ask, replies, Domain};
+
+/// The number of a grant's permit.
+fn permit(reply: &Reply) -> u64 {
+    match reply {
+        Reply::Grant { permit, .. } => *permit,
+        other => panic!("not a grant: {other:?}"),
+    }
+}
+
+/// Failure: a grant is lost. Its slot is free again after 300 ms, not before.
+#[test]
+fn lost_grant() {
+    let (domain, mut allocator) = (Domain::new(1, 1), Allocator::new(1));
+    permit(&domain.ask(&mut allocator, ask(1), ms(0))[0].1);
+    let waits = domain.ask(&mut allocator, ask(2), ms(1));
+    assert_eq!(waits, [(2, Reply::Queued)]);
+    domain.now.set(ms(299));
+    assert_eq!(allocator.tick(&domain, ms(299)), []);
+    domain.now.set(ms(300));
+    let granted = replies(allocator.tick(&domain, ms(300)));
+    assert_eq!(granted[0].0, 2);
+    permit(&granted[0].1);
+}
+
+fn heartbeat(sequence: u64, targets: &[u32]) -> Heartbeat {
+    Heartbeat {
+        incarnation: 1,
+        instance: "other".into(),
+        rows: targets.iter().map(|target| row(*target)).collect(),
+        sequence,
+        ..Heartbeat::default()
+    }
+}
+
+fn row(target: u32) -> Row {
+    Row {
+        gap_ms: 250,
+        running: 1,
+        short: 1,
+        target,
+        tokens: 6_000,
+    }
+}
+
+fn update(sequence: u64, target: u32, permit: u64) -> Update {
+    Update {
+        permit,
+        row: row(target),
+        sequence,
+        ..Update::default()
+    }
+}
+
+/// Load: more asks than slots. The more urgent request gets the next slot, whatever the order of arrival.
+#[test]
+fn urgent_first() {
+    let (domain, mut allocator) = (Domain::new(1, 2), Allocator::new(1));
+    let permits: Vec<u64> = (1..=2)
+        .map(|number| permit(&domain.ask(&mut allocator, ask(number), ms(0))[0].1))
+        .collect();
+    for (number, priority) in [(3, 2), (4, 1), (5, 0)] {
+        let ask = Ask {
+            priority,
+            objective_ms: 60_000,
+            left_ms: 60_000,
+            ..ask(number)
+        };
+        let waits = domain.ask(&mut allocator, ask, ms(number));
+        assert_eq!(waits, [(number, Reply::Queued)]);
+    }
+    domain.now.set(ms(20));
+    for (permit, expected) in permits.into_iter().zip([5, 4]) {
+        domain.view.borrow_mut().end_permit(permit);
+        let granted = replies(allocator.free(&domain, ms(20)));
+        let numbers: Vec<u64> = granted.iter().map(|(number, _)| *number).collect();
+        assert_eq!(numbers, [expected]);
+    }
+}
+
+/// Load: a domain is full while another one has free slots. A request is sent there once; one that was redirected is
+/// not redirected again.
+#[test]
+fn redirected_once() {
+    let (mut domain, mut allocator) = (Domain::new(1, 1), Allocator::new(1));
+    domain.elsewhere.push(Room {
+        domain: "south".into(),
+        free: 10,
+    });
+    permit(&domain.ask(&mut allocator, ask(1), ms(0))[0].1);
+    let south = Reply::Elsewhere {
+        domain: "south".into(),
+    };
+    assert_eq!(domain.ask(&mut allocator, ask(2), ms(1)), [(2, south)]);
+    let redirected = Ask {
+        redirected: true,
+        ..ask(3)
+    };
+    let waits = domain.ask(&mut allocator, redirected, ms(1));
+    assert_eq!(waits, [(3, Reply::Queued)]);
+    assert_eq!(allocator.waiting(), 1);
+}
+
+/// Failure: an instance sends counts and times that no instance has.
+#[test]
+fn impossible_messages() {
+    let is_valid = |messages: Vec<Message>| {
+        let envelope = Envelope {
+            messages,
+            ..Envelope::default()
+        };
+        envelope.check().is_ok()
+    };
+    let changed = |change: fn(&mut Ask)| {
+        let mut ask = ask(1);
+        change(&mut ask);
+        is_valid(vec![Message::Ask(ask)])
+    };
+    assert!(changed(|_| {}));
+    assert!(!changed(|ask| ask.gap_ms = 3_600_001));
+    assert!(!changed(|ask| ask.objective_ms = u32::MAX));
+    assert!(!changed(|ask| ask.left_ms = u32::MAX));
+    assert!(!changed(|ask| ask.excluded = vec![1; 33]));
+    let row = |running, short| {
+        let mut update = update(1, 7, 1);
+        (update.row.running, update.row.short) = (running, short);
+        is_valid(vec![Message::Update(update)])
+    };
+    assert!(row(10_000, 10_000) && row(0, 0));
+    assert!(!row(10_001, 0) && !row(1, 2) && !row(u32::MAX, u32::MAX));
+    let retry_ms = u32::MAX;
+    assert!(!is_valid(vec![Message::Reply(
+        1,
+        Reply::Refused { retry_ms }
+    )]));
+    assert!(is_valid(vec![Message::Return(1, 1); 256]));
+    assert!(!is_valid(vec![Message::Return(1, 1); 257]));
+}
