permit: Keep a permit until the work of its request is counted

Cause: an update ended its permit also when its work was ignored, because its instance was not known by a heartbeat yet, or because a later update had overtaken it. The slot counted as free while the request ran, and could be granted again. Change: View::update ends the permit, only if the work is counted; updates that overtook each other are put in order.

--- a/src/entry/permits.rs
+++ b/src/entry/permits.rs
@@ -368,11 +368,11 @@
         let now = self.clock.now();
         {
             let mut view = self.view.borrow_mut();
-            if update.permit > 0 {
-                view.end_permit(update.permit);
-            }
-            if incarnation != self.incarnation {
-                view.update(instance, incarnation, update, now);
+            match incarnation == self.incarnation {
+                true => {
+                    view.end_permit(update.permit);
+                }
+                false => view.update(instance, incarnation, update, now),
             }
         }
         if update.ended {
--- a/src/entry/view.rs
+++ b/src/entry/view.rs
@@ -243,8 +243,9 @@
         self.permits.len() < before
     }
 
-    /// Applies the change of another instance's work at one target. Ignored if the instance is not known by a heartbeat,
-    /// or if a later heartbeat of it was applied.
+    /// Applies the change of another instance's work at one target, and ends the permit that it names. Ignored if the
+    /// instance is not known by a heartbeat, whose work is not counted then. The work is that of a later heartbeat or
+    /// update if one was applied before.
     pub fn update(
         &mut self,
         instance: &str,
@@ -258,15 +259,20 @@
         let Some(peer) = found.ok().map(|at| &mut self.peers[at]) else {
             return;
         };
-        let last = peer.updates.last().map_or(0, |update| update.sequence);
-        let is_new = update.sequence > peer.sequence.max(last);
-        if peer.incarnation != incarnation || !is_new {
+        if peer.incarnation != incarnation {
             return;
         }
-        if let Some(prefill) = &update.prefill {
-            insert_prefill(&mut peer.prefills, track(&[], prefill, now));
+        let sequence = |update: &Update| update.sequence;
+        let found = peer
+            .updates
+            .binary_search_by_key(&update.sequence, sequence);
+        if let (Err(at), true) = (found, update.sequence > peer.sequence) {
+            if let Some(prefill) = &update.prefill {
+                insert_prefill(&mut peer.prefills, track(&[], prefill, now));
+            }
+            peer.updates.insert(at, update.clone());
         }
-        peer.updates.push(update.clone());
+        self.end_permit(update.permit);
     }
 
     /// Adds a waiting prompt of this instance; returns its number.
--- a/tests/entry_permits.rs
+++ b/tests/entry_permits.rs
@@ -64,6 +64,55 @@
     }
 }
 
+/// Failure: heartbeats and updates of an instance overtake each other, so starts are forgotten or counted twice.
+#[test]
+fn any_order() {
+    type Step = Box<dyn Fn(&mut View)>;
+    let beat = |sequence, targets: &'static [u32]| -> Step {
+        Box::new(move |view| {
+            view.receive(&heartbeat(sequence, targets), ms(5));
+        })
+    };
+    let change = |sequence, target| -> Step {
+        Box::new(move |view| {
+            view.update("other", 1, &update(sequence, target, 0), ms(5));
+        })
+    };
+    // Without a later heartbeat, and with one that has the second update's work already.
+    for last in [beat(2, &[]), beat(4, &[7, 8])] {
+        let steps = [change(3, 7), change(5, 9), change(4, 8), last];
+        for order in 0..24 {
+            let mut left: Vec<usize> = (0..4).collect();
+            let mut view = View::default();
+            view.receive(&heartbeat(1, &[]), ms(0));
+            for digit in [order / 6, order / 2 % 3, order % 2, 0] {
+                steps[left.remove(digit)](&mut view);
+            }
+            let loads = view.loads(ms(5));
+            let running: Vec<(u32, u32)> = loads
+                .iter()
+                .map(|(target, load)| (*target, load.running))
+                .collect();
+            assert_eq!(running, [(7, 1), (8, 1), (9, 1)], "order {order}");
+        }
+    }
+}
+
+/// Failure: an update confirms a permit, but its work is not counted, because its instance is not known yet. The slot
+/// would be granted again while the request runs.
+#[test]
+fn unknown_instance_keeps_permit() {
+    let (domain, mut allocator) = (Domain::new(1, 1), Allocator::new(1));
+    let permit = permit(&domain.ask(&mut allocator, ask(1), ms(0))[0].1);
+    let key = domain.engines[0].key;
+    let mut view = domain.view.borrow_mut();
+    view.update("other", 1, &update(2, key, permit), ms(3));
+    assert_eq!(view.loads(ms(3))[0].1.running, 1);
+    view.receive(&heartbeat(1, &[]), ms(4));
+    view.update("other", 1, &update(3, key, permit), ms(5));
+    assert_eq!(view.loads(ms(5))[0].1.running, 1);
+}
+
 /// Load: more asks than slots. The more urgent request gets the next slot, whatever the order of arrival.
 #[test]
 fn urgent_first() {
