permit: Draw the first numbers of permits and asks

Cause: every allocator numbered its permits from 1, and every process its asks. An update or a return that names a permit of another allocator, or of an earlier process, ended the permit with the same number, whose slot could then be granted again; a late reply to an earlier process at an address was taken for the reply to an ask of its successor. Change: both sequences begin at a random number below 2^63. The number of asks has no test of its own.

--- a/src/entry/permit/allocator.rs
+++ b/src/entry/permit/allocator.rs
@@ -92,6 +92,7 @@
 /// Grants the slots of a domain's engines, one request each.
 #[derive(Debug)]
 pub struct Allocator {
+    /// Last number of a permit or of a request in the queue.
     next: u64,
     queue: Queue,
     random: fastrand::Rng,
@@ -124,7 +125,9 @@
     /// An allocator that has granted nothing; `seed` decides between equal engines.
     pub fn new(seed: u64) -> Allocator {
         Allocator {
-            next: 0,
+            // Numbers of two allocators, or of two processes of one, must differ: a late message about a permit of one
+            // would end a permit of the other.
+            next: fastrand::Rng::with_seed(!seed).u64(..) >> 1,
             queue: Queue::with_seed(CAPACITY, seed),
             random: fastrand::Rng::with_seed(seed),
             rate: FreeRate::default(),
--- a/src/entry/permits.rs
+++ b/src/entry/permits.rs
@@ -66,7 +66,8 @@
         Permits {
             allocator: RefCell::new(Allocator::new(fastrand::u64(..))),
             asks: RefCell::default(),
-            last_ask: Cell::default(),
+            // A reply to an earlier process at this address must not fit an ask of this one.
+            last_ask: Cell::new(fastrand::u64(..) >> 1),
             outbox: async_channel::unbounded(),
             ticking: Cell::default(),
             unresponsive: RefCell::default(),
--- a/tests/entry_permits.rs
+++ b/tests/entry_permits.rs
@@ -113,6 +113,18 @@
     assert_eq!(view.loads(ms(5))[0].1.running, 1);
 }
 
+/// Failure: two allocators of a domain grant at the same time. A message about a permit of one must not end one of the
+/// other.
+#[test]
+fn permits_differ() {
+    let granted = |seed| -> u64 {
+        let (domain, mut allocator) = (Domain::new(1, 1), Allocator::new(seed));
+        permit(&domain.ask(&mut allocator, ask(1), ms(0))[0].1)
+    };
+    let numbers: BTreeSet<u64> = (0..100).map(granted).collect();
+    assert_eq!(numbers.len(), 100);
+}
+
 /// Load: more asks than slots. The more urgent request gets the next slot, whatever the order of arrival.
 #[test]
 fn urgent_first() {
