permit: Expire the queue before a freed slot is granted

Cause: Allocator::free took the head of the queue by the prediction of the last tick, so it granted to a request that could not start in time any more, or let it block the others until the next tick (10 ms, more on a busy instance). Change: every path that takes the head runs Queue::expire first. Result: entry_permits late_head_is_refused failed before (the late request was granted), passes now.

--- a/src/entry/permit/allocator.rs
+++ b/src/entry/permit/allocator.rs
@@ -174,7 +174,7 @@
             Decision::Elsewhere(domain) => vec![answered(Reply::Elsewhere { domain })],
             Decision::Grant(_) | Decision::Full => {
                 let mut answers = self.enqueue(asker, ask, &known, now);
-                answers.extend(self.drain(slots, now));
+                answers.extend(self.serve(slots, now));
                 answers
             }
         }
@@ -183,7 +183,7 @@
     /// Records that a slot became free, and grants it to the request that is due first.
     pub fn free(&mut self, slots: &dyn Slots, now: Duration) -> Vec<Answered> {
         self.rate.record(1, now);
-        self.drain(slots, now)
+        self.serve(slots, now)
     }
 
     /// Removes a request from the queue, because its caller left or its instance placed it otherwise.
@@ -204,6 +204,15 @@
         for waiter in self.waiting.extract_if(.., |waiter| is_lost(waiter)) {
             self.queue.remove(waiter.number, false);
         }
+        self.serve(slots, now)
+    }
+
+    /// Refuses requests that cannot start in time any more, then grants what is free: the first of the queue depends on
+    /// the time.
+    fn serve(&mut self, slots: &dyn Slots, now: Duration) -> Vec<Answered> {
+        if self.waiting.is_empty() {
+            return Vec::new();
+        }
         let rate = self.rate.per_s(self.running, now);
         let expired = self.queue.expire(rate, now);
         let mut answers = self.refuse(expired, rate, now);
--- a/tests/entry_permits.rs
+++ b/tests/entry_permits.rs
@@ -151,6 +151,39 @@
     }
 }
 
+/// Failure: a slot becomes free after the first waiting request can no longer start in time. It must be refused and must
+/// not keep the slot from the next one.
+#[test]
+fn late_head_is_refused() {
+    let (domain, mut allocator) = (Domain::new(1, 1), Allocator::new(1));
+    let first = permit(&domain.ask(&mut allocator, ask(1), ms(0))[0].1);
+    let short = Ask {
+        objective_ms: 5_000,
+        left_ms: 6_000,
+        ..ask(2)
+    };
+    let long = Ask {
+        objective_ms: 30_000,
+        left_ms: 30_000,
+        ..ask(3)
+    };
+    let waits = domain.ask(&mut allocator, short, ms(0));
+    assert_eq!(waits, [(2, Reply::Queued)]);
+    let waits = domain.ask(&mut allocator, long, ms(0));
+    assert_eq!(waits, [(3, Reply::Queued)]);
+    domain.view.borrow_mut().end_permit(first);
+    domain.now.set(ms(5_100));
+    let answers = replies(allocator.free(&domain, ms(5_100)));
+    assert!(
+        matches!(answers[0], (2, Reply::Refused { .. })),
+        "{answers:?}"
+    );
+    assert!(
+        matches!(answers[1], (3, Reply::Grant { .. })),
+        "{answers:?}"
+    );
+}
+
 /// Load: a domain is full while another one has free slots. A request is sent there once; one that was redirected is
 /// not redirected again.
 #[test]
