permit: Refuse waiting requests of a removed service

Cause: a request whose service had left the configuration blocked the queue until it could not start in time any more. Change: it is refused like a new ask for an unknown service. Result: entry_permits removed_service failed before (no reply to any request), passes now.

--- a/src/entry/permit/allocator.rs
+++ b/src/entry/permit/allocator.rs
@@ -29,6 +29,9 @@
 /// and one for parts of other prompts that arrive later and are processed first.
 const PASSES_TO_FIRST_EVENT: f64 = 2.5;
 
+/// Reply to an ask for a service that the allocator does not know: its configuration may be older than the instance's.
+const UNKNOWN_SERVICE: Reply = Reply::Refused { retry_ms: 1_000 };
+
 /// Free slots of another domain's engines for short prompts.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Room {
@@ -163,7 +166,7 @@
             return vec![answered(Reply::Queued)];
         }
         let Some(known) = slots.known(&ask) else {
-            return vec![answered(Reply::Refused { retry_ms: 1_000 })];
+            return vec![answered(UNKNOWN_SERVICE)];
         };
         match self.decide(&ask, Duration::ZERO, &known) {
             // Requests that wait are due first.
@@ -229,14 +232,14 @@
                 self.queue.remove(number, false);
                 continue;
             };
-            let Some(known) = slots.known(&waiter.ask) else {
-                break;
-            };
             let age = now.saturating_sub(waiter.received);
-            let reply = match self.decide(&waiter.ask, age, &known) {
-                Decision::Grant(placement) => self.grant(&waiter.ask, &placement, slots, now),
-                Decision::Elsewhere(domain) => Reply::Elsewhere { domain },
-                Decision::Full => break,
+            let known = slots.known(&waiter.ask);
+            let decision = known.map(|known| self.decide(&waiter.ask, age, &known));
+            let reply = match decision {
+                Some(Decision::Grant(placement)) => self.grant(&waiter.ask, &placement, slots, now),
+                Some(Decision::Elsewhere(domain)) => Reply::Elsewhere { domain },
+                Some(Decision::Full) => break,
+                None => UNKNOWN_SERVICE,
             };
             let is_served = matches!(reply, Reply::Grant { .. });
             self.queue.remove(number, is_served);
--- a/tests/entry_permits.rs
+++ b/tests/entry_permits.rs
@@ -184,6 +184,44 @@
     );
 }
 
+/// Failure: the service of the first waiting request is removed from the configuration. It is refused; others are served.
+#[test]
+fn removed_service() {
+    struct Removed<'a>(&'a Domain);
+    impl jujubehook::entry::permit::Slots for Removed<'_> {
+        fn known(&self, ask: &Ask) -> Option<jujubehook::entry::permit::Known> {
+            (ask.number != 2).then(|| self.0.known(ask)).flatten()
+        }
+        fn grant(&self, permit: jujubehook::entry::Permit) {
+            self.0.grant(permit);
+        }
+    }
+    let (domain, mut allocator) = (Domain::new(1, 1), Allocator::new(1));
+    let first = permit(&domain.ask(&mut allocator, ask(1), ms(0))[0].1);
+    let long = Ask {
+        objective_ms: 60_000,
+        left_ms: 60_000,
+        ..ask(3)
+    };
+    for waiting in [ask(2), long] {
+        assert_eq!(
+            domain.ask(&mut allocator, waiting, ms(0))[0].1,
+            Reply::Queued
+        );
+    }
+    domain.view.borrow_mut().end_permit(first);
+    domain.now.set(ms(10));
+    let answers = replies(allocator.free(&Removed(&domain), ms(10)));
+    assert!(
+        matches!(answers[0], (2, Reply::Refused { .. })),
+        "{answers:?}"
+    );
+    assert!(
+        matches!(answers[1], (3, Reply::Grant { .. })),
+        "{answers:?}"
+    );
+}
+
 /// Load: a domain is full while another one has free slots. A request is sent there once; one that was redirected is
 /// not redirected again.
 #[test]
