permit: Spread the retry times of refused callers at the maximum

Cause: callers for which the maximum retry time (3 s) is too short for their turn all got exactly that time, so a refused burst returned as a burst. Change: they return at random times in its last third. Result: entry_permits refused_return_apart failed before (more than 10 of 200 callers within 20 ms), passes now.

--- a/src/entry/permit/allocator.rs
+++ b/src/entry/permit/allocator.rs
@@ -327,7 +327,7 @@
         let reply = match admission {
             Admission::Queued => Reply::Queued,
             Admission::Refused { retry } => Reply::Refused {
-                retry_ms: millis(retry.max(self.returns.next(rate, now))),
+                retry_ms: millis(self.retry(retry, rate, now)),
             },
         };
         answers.push(Answered {
@@ -354,12 +354,18 @@
         now: Duration,
     ) -> Vec<Answered> {
         let refused = removed.into_iter().filter_map(|(waiting, retry)| {
-            let retry_ms = millis(retry.max(self.returns.next(rate, now)));
+            let retry_ms = millis(self.retry(retry, rate, now));
             self.answer(waiting.number, Reply::Refused { retry_ms })
         });
         refused.collect()
     }
 
+    /// Time after which a refused caller returns: not before the queue expects a slot for it, nor with all others.
+    fn retry(&mut self, least: Duration, rate: f64, now: Duration) -> Duration {
+        let random = self.random.f64();
+        least.max(self.returns.next(rate, random, now))
+    }
+
     /// The final reply to a request that waited.
     fn answer(&mut self, number: u64, reply: Reply) -> Option<Answered> {
         let found = self
--- a/src/entry/permit/returns.rs
+++ b/src/entry/permit/returns.rs
@@ -18,11 +18,15 @@
 }
 
 impl Returns {
-    /// Time after which the next refused caller returns, if `rate` slots become free per second.
-    pub(super) fn next(&mut self, rate: f64, now: Duration) -> Duration {
+    /// Time after which the next refused caller returns, if `rate` slots become free per second. Callers beyond the
+    /// maximum time are spread over its last third by `random` (0 to 1).
+    pub(super) fn next(&mut self, rate: f64, random: f64, now: Duration) -> Duration {
         let step = Duration::try_from_secs_f64(1.0 / (rate * SHARE)).unwrap_or(MAX_RETRY);
         let next = self.last.saturating_add(step).max(now + MIN_RETRY);
         self.last = next.min(now + MAX_RETRY);
-        self.last.saturating_sub(now)
+        match next <= self.last {
+            true => next.saturating_sub(now),
+            false => MAX_RETRY.mul_f64(1.0 - random / 3.0),
+        }
     }
 }
--- a/tests/entry_permits.rs
+++ b/tests/entry_permits.rs
@@ -222,6 +222,47 @@
     );
 }
 
+/// Load: two hundred callers are refused at the same time. They must not return at the same time.
+#[test]
+fn refused_return_apart() {
+    let (domain, mut allocator) = (Domain::new(1, 1), Allocator::new(1));
+    permit(&domain.ask(&mut allocator, ask(0), ms(0))[0].1);
+    assert_eq!(
+        domain.ask(&mut allocator, ask(1), ms(0))[0].1,
+        Reply::Queued
+    );
+    // Twenty slots became free in the last second.
+    for _ in 0..20 {
+        assert_eq!(allocator.free(&domain, ms(0)), []);
+    }
+    let refused = (2..=201).filter_map(|number| {
+        let ask = Ask {
+            objective_ms: 300,
+            left_ms: 2_000,
+            ..ask(number)
+        };
+        match domain.ask(&mut allocator, ask, ms(0))[0].1 {
+            Reply::Refused { retry_ms } => Some(retry_ms),
+            _ => None,
+        }
+    });
+    let mut times: Vec<u32> = refused.collect();
+    times.sort_unstable();
+    assert!(times.len() >= 190, "{} refused", times.len());
+    assert!(
+        times[0] >= 200 && times[times.len() - 1] <= 5_000,
+        "{times:?}"
+    );
+    let most = times.iter().map(|time| {
+        times
+            .iter()
+            .filter(|other| *other / 20 == time / 20)
+            .count()
+    });
+    let most = most.max().unwrap();
+    assert!(most <= 10, "{most} within 20 ms");
+}
+
 /// Load: a domain is full while another one has free slots. A request is sent there once; one that was redirected is
 /// not redirected again.
 #[test]
