permit: Compare processor shares without rounding

Cause: half of the largest share was rounded down, so beside a share of 0.001 one of 0 (a process that stops) could be chosen. Change: twice the share is compared with the largest. Result: entry_permits elected_alike failed before (instance-14 with 0 beside instance-0 with 0.001), passes now.

--- a/src/entry/permit/elect.rs
+++ b/src/entry/permit/elect.rs
@@ -30,7 +30,7 @@
     let weight = |name: &str| xxh3_64_with_seed(name.as_bytes(), SEED);
     candidates
         .iter()
-        .filter(|candidate| candidate.processor >= largest / 2)
+        .filter(|candidate| candidate.processor.saturating_mul(2) >= largest)
         .map(|candidate| candidate.instance)
         .max_by_key(|instance| (weight(instance), *instance))
 }
--- a/tests/entry_permits.rs
+++ b/tests/entry_permits.rs
@@ -321,3 +321,54 @@
     assert!(is_valid(vec![Message::Return(1, 1); 256]));
     assert!(!is_valid(vec![Message::Return(1, 1); 257]));
 }
+
+/// Failure: instances that see the same members choose different allocators, a weak or stopping one, or one that does not
+/// reply.
+#[test]
+fn elected_alike() {
+    let names: Vec<String> = (0..40).map(|number| format!("instance-{number}")).collect();
+    let mut random = fastrand::Rng::with_seed(1);
+    for largest in [1, 2, 501, 1_000] {
+        let mut candidates: Vec<Candidate<'_>> = names
+            .iter()
+            .map(|name| Candidate {
+                instance: name,
+                processor: random.u32(..=largest),
+            })
+            .collect();
+        candidates[7].processor = largest;
+        let elected = elect(&candidates).unwrap();
+        for _ in 0..20 {
+            random.shuffle(&mut candidates);
+            assert_eq!(elect(&candidates), Some(elected));
+        }
+        let chosen = candidates.iter().find(|other| other.instance == elected);
+        assert!(
+            chosen.unwrap().processor * 2 >= largest,
+            "{largest}: {elected}"
+        );
+    }
+    let mut candidates: Vec<Candidate<'_>> = names
+        .iter()
+        .map(|name| Candidate {
+            instance: name,
+            processor: 0,
+        })
+        .collect();
+    for least in 0..candidates.len() {
+        candidates[least].processor = 1;
+        assert_eq!(elect(&candidates), Some(names[least].as_str()));
+        candidates[least].processor = 0;
+    }
+    let stopping = names.iter().map(|instance| Candidate {
+        instance,
+        processor: 0,
+    });
+    assert!(elect(&stopping.collect::<Vec<_>>()).is_some());
+    assert_eq!(elect(&[]), None);
+    let mut unresponsive = Unresponsive::default();
+    unresponsive.mark("instance-1", ms(100));
+    assert!(unresponsive.contains("instance-1", ms(1_099)));
+    assert!(!unresponsive.contains("instance-1", ms(1_100)));
+    assert!(!unresponsive.contains("instance-2", ms(100)));
+}
