permit: Return double grants, age repeated asks, bound datagrams

Cause: a second grant for a repeated ask, or one that arrived as the caller left, stayed in the channel and its slot was taken for 300 ms. A repeated ask stated the times of the first one, so an allocator that did not know it gave it its whole time again. All messages that waited for an address went into one datagram, which its receiver drops if there are more than 256. Change: unread grants are returned; repeated asks are aged; 64 messages a datagram at most (permit::batch). Result: entry_permits 13 passed, with repeated_ask_ages and many_messages for the new functions; the returned grant has no test of its own yet.

--- a/src/entry/permit/message.rs
+++ b/src/entry/permit/message.rs
@@ -1,3 +1,4 @@
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use quick_error::quick_error;
@@ -12,6 +13,9 @@
 /// Maximum number of messages in one datagram.
 const MAX_MESSAGES: usize = 256;
 
+/// Maximum number of messages that are sent in one datagram: even the largest asks stay far below its maximum size.
+const SENT_MESSAGES: usize = 64;
+
 /// Maximum number of requests that one instance can run at one target: more than any target queues.
 const MAX_RUNNING: u32 = 10_000;
 
@@ -174,6 +178,16 @@
         check("excluded", excluded, MAX_EXCLUDED as u64)
     }
 
+    /// The ask when it is repeated after `age`. An allocator that does not know it must not count its times anew.
+    pub fn aged(&self, age: Duration) -> Ask {
+        let age = u32::try_from(age.as_millis()).unwrap_or(u32::MAX);
+        Ask {
+            objective_ms: self.objective_ms.saturating_sub(age),
+            left_ms: self.left_ms.saturating_sub(age),
+            ..self.clone()
+        }
+    }
+
     /// Time until the first event misses its objective.
     pub fn objective(&self) -> Duration {
         Duration::from_millis(u64::from(self.objective_ms))
@@ -191,6 +205,21 @@
     }
 }
 
+/// Messages for each address in the order in which they were posted, as many in one envelope as a receiver accepts.
+pub fn batch(
+    posted: impl IntoIterator<Item = (SocketAddr, Message)>,
+) -> Vec<(SocketAddr, Vec<Message>)> {
+    let mut batches: Vec<(SocketAddr, Vec<Message>)> = Vec::new();
+    for (address, message) in posted {
+        let mut last = batches.iter_mut().rev();
+        match last.find(|(known, _)| *known == address) {
+            Some((_, messages)) if messages.len() < SENT_MESSAGES => messages.push(message),
+            _ => batches.push((address, vec![message])),
+        }
+    }
+    batches
+}
+
 /// Checks the counts of an instance at one target.
 ///
 /// # Errors
--- a/src/entry/permit/mod.rs
+++ b/src/entry/permit/mod.rs
@@ -12,4 +12,6 @@
 
 pub use allocator::{Allocator, Answered, Asker, Known, Room, Slots};
 pub use elect::{elect, Candidate, Unresponsive};
-pub use message::{check_row, Ask, Envelope, Malformed, Message, Reply, Update, MAX_EXCLUDED};
+pub use message::{
+    batch, check_row, Ask, Envelope, Malformed, Message, Reply, Update, MAX_EXCLUDED,
+};
--- a/src/entry/permits.rs
+++ b/src/entry/permits.rs
@@ -11,8 +11,8 @@
 use smol::Timer;
 
 use super::permit::{
-    elect, Allocator, Answered, Ask, Asker, Candidate, Envelope, Known, Message, Reply, Room,
-    Slots, Unresponsive, Update,
+    batch, elect, Allocator, Answered, Ask, Asker, Candidate, Envelope, Known, Message, Reply,
+    Room, Slots, Unresponsive, Update,
 };
 use super::{Engine, Instance, Permit, TargetKey};
 use crate::event;
@@ -98,6 +98,13 @@
             .asks
             .borrow_mut()
             .retain(|(number, _)| *number != self.number);
+        // A repeated ask may have been granted twice, and the caller may leave between a grant and its use.
+        while let Ok(reply) = self.replies.try_recv() {
+            if let Reply::Grant { permit, .. } = reply {
+                self.instance
+                    .return_permit(self.address, self.number, permit);
+            }
+        }
         if !self.is_final {
             self.instance.return_permit(self.address, self.number, 0);
         }
@@ -179,6 +186,7 @@
             number: ask.number,
             replies,
         };
+        let since = self.clock.now();
         let mut unanswered = 0;
         let mut is_queued = false;
         self.post(allocator.address, Message::Ask(ask.clone()));
@@ -207,7 +215,8 @@
                 None => {
                     unanswered += u32::from(!is_queued);
                     is_queued = false;
-                    self.post(allocator.address, Message::Ask(ask.clone()));
+                    let age = self.clock.now().saturating_sub(since);
+                    self.post(allocator.address, Message::Ask(ask.aged(age)));
                 }
             }
         }
@@ -265,24 +274,18 @@
 
     /// What is sent to which address, with updates as of now.
     fn envelopes(&self, outgoing: Vec<Outgoing>) -> Vec<(SocketAddr, Envelope)> {
-        let mut envelopes: Vec<(SocketAddr, Envelope)> = Vec::new();
-        for outgoing in outgoing {
-            let Some((address, message)) = self.resolve(outgoing) else {
-                continue;
-            };
-            match envelopes.iter_mut().find(|(known, _)| *known == address) {
-                Some((_, envelope)) => envelope.messages.push(message),
-                None => envelopes.push((
-                    address,
-                    Envelope {
-                        incarnation: self.incarnation,
-                        instance: self.settings.borrow().instance.clone(),
-                        messages: vec![message],
-                    },
-                )),
-            }
-        }
-        envelopes
+        let posted = outgoing
+            .into_iter()
+            .filter_map(|outgoing| self.resolve(outgoing));
+        let envelope = |messages| Envelope {
+            incarnation: self.incarnation,
+            instance: self.settings.borrow().instance.clone(),
+            messages,
+        };
+        let batches = batch(posted).into_iter();
+        batches
+            .map(|(address, messages)| (address, envelope(messages)))
+            .collect()
     }
 
     fn resolve(&self, outgoing: Outgoing) -> Option<(SocketAddr, Message)> {
--- a/tests/entry_permits.rs
+++ b/tests/entry_permits.rs
@@ -7,7 +7,7 @@
 
 use entry_fixtures::ms;
 use jujubehook::entry::permit::{
-    elect, Allocator, Ask, Candidate, Envelope, Message, Reply, Room, Unresponsive, Update,
+    batch, elect, Allocator, Ask, Candidate, Envelope, Message, Reply, Room, Unresponsive, Update,
 };
 use jujubehook::entry::{Heartbeat, Row, View};
 use permit_fixtures::{ask, replies, Domain};
@@ -322,6 +322,37 @@
     assert!(!is_valid(vec![Message::Return(1, 1); 257]));
 }
 
+/// Failure: an allocator forgets a waiting request, whose ask is repeated then. Its time to wait must not begin anew.
+#[test]
+fn repeated_ask_ages() {
+    let (first, later) = (ask(1), ask(1).aged(ms(3_000)));
+    assert_eq!((later.objective_ms, later.left_ms), (7_000, 17_000));
+    assert_eq!((later.number, later.prompt), (first.number, first.prompt));
+    assert_eq!(first.aged(ms(60_000)).left_ms, 0);
+}
+
+/// Load: more messages wait for an instance than it accepts in one datagram. None is dropped, and they stay in order.
+#[test]
+fn many_messages() {
+    let address = |number: u64| ([127, 0, 0, number as u8], 7_000).into();
+    let posted = (0..1_000).map(|number| (address(number % 2), Message::Return(number, 0)));
+    let batches = batch(posted);
+    for receiver in 0..2 {
+        let own = batches.iter().filter(|(to, _)| *to == address(receiver));
+        let mut sent = Vec::new();
+        for (_, messages) in own {
+            let envelope = Envelope {
+                messages: messages.clone(),
+                ..Envelope::default()
+            };
+            assert_eq!(envelope.check(), Ok(()));
+            sent.extend_from_slice(messages);
+        }
+        let expected = (0..500).map(|number| Message::Return(number * 2 + receiver, 0));
+        assert_eq!(sent, expected.collect::<Vec<_>>());
+    }
+}
+
 /// Failure: instances that see the same members choose different allocators, a weak or stopping one, or one that does not
 /// reply.
 #[test]
