permit: Set the new counter in entry_metrics

Cause: entry_names_are_listed failed: a counter with labels is listed only once it is set, and the test did not set entry_permits_total. Change: it sets it. The comparison is the same.

--- a/tests/entry_metrics.rs
+++ b/tests/entry_metrics.rs
@@ -20,6 +20,7 @@
     metrics.requests.with_label_values(&["stream", "ok"]).inc();
     metrics.panics.with_label_values(&["probe"]).inc();
     metrics.hedges.with_label_values(&["sent"]).inc();
+    metrics.permits.with_label_values(&["grant"]).inc();
     metrics.sends.with_label_values(&["opened"]).inc();
     metrics
         .log_calls
