permit: Send the processor share only with permits

Cause: heartbeats had a new last field in any case. rmp_serde refuses an array with more fields than it knows (LengthMismatch in a trial), so during an update every process of an earlier version would have dropped all heartbeats of the new ones, also without the setting.

--- a/src/entry/permits.rs
+++ b/src/entry/permits.rs
@@ -159,12 +159,13 @@
         })
     }
 
-    /// Share of a processor core in thousandths, for heartbeats; 0 while the process stops, so that it is not chosen as
-    /// an allocator.
+    /// Share of a processor core in thousandths, for heartbeats; 0 while the process stops, or without permits, so that
+    /// it is not chosen as an allocator beside others.
     pub(super) fn processor(&self) -> u32 {
-        match self.is_stopping() {
+        let settings = self.settings.borrow();
+        match self.is_stopping() || settings.permit_instances.is_none() {
             true => 0,
-            false => (self.settings.borrow().processor * 1e3) as u32,
+            false => (settings.processor * 1e3) as u32,
         }
     }
 
--- a/tests/entry_permits.rs
+++ b/tests/entry_permits.rs
@@ -322,6 +322,26 @@
     assert!(!is_valid(vec![Message::Return(1, 1); 257]));
 }
 
+/// Failure: processes of the version before permits cannot read a heartbeat with one field more. Instances without
+/// permits have to send heartbeats that they can read, or they leave each other in the middle of an update.
+#[test]
+fn heartbeat_without_permits() {
+    let encoded = |heartbeat: &Heartbeat| {
+        let bytes = rmp_serde::to_vec(heartbeat).unwrap();
+        let read = rmp_serde::from_slice::<Heartbeat>(&bytes).unwrap();
+        assert_eq!(read, *heartbeat);
+        bytes
+    };
+    let plain = heartbeat(1, &[7]);
+    // An array of fifteen fields, as before.
+    assert_eq!(encoded(&plain)[0], 0x9f);
+    let with_share = Heartbeat {
+        processor: 500,
+        ..plain
+    };
+    assert_eq!(encoded(&with_share)[..3], [0xdc, 0, 16]);
+}
+
 /// Failure: an allocator forgets a waiting request, whose ask is repeated then. Its time to wait must not begin anew.
 #[test]
 fn repeated_ask_ages() {
