heartbeat: Never leave out a field

An ask does not compute the load of engines, which its allocator knows better, and a request that no allocator decides waits for one objective in all.

--- a/src/entry/heartbeat.rs
+++ b/src/entry/heartbeat.rs
@@ -79,20 +79,12 @@
     pub reads: [bool; 3],
     /// Version of the operator's configuration that the sender knows; 0 before the first one.
     pub config: u64,
-    /// Share of a processor core in thousandths; 0 if unknown, if the process stops, or if it uses no permits. Not sent
-    /// if 0: processes of earlier versions do not read heartbeats with it.
-    #[serde(default, skip_serializing_if = "is_zero")]
+    /// Share of a processor core in thousandths; 0 if unknown, if the process stops, or if it uses no permits.
     pub processor: u32,
-    /// Times that the sender measured and that no earlier heartbeat carried, at most `hedge::MAX_SAMPLES`. Versions before
-    /// this field send heartbeats without it.
-    #[serde(default)]
+    /// Times that the sender measured and that no earlier heartbeat carried, at most `hedge::MAX_SAMPLES`.
     pub samples: Vec<Sample>,
 }
 
-fn is_zero(share: &u32) -> bool {
-    *share == 0
-}
-
 impl Heartbeat {
     /// Whether it carries no news compared with the earlier heartbeat `before`. Samples are no news, since they can wait
     /// for the next heartbeat.
--- a/src/entry/instance.rs
+++ b/src/entry/instance.rs
@@ -232,6 +232,11 @@
         self.engines_with(&loads, service, tried, all)
     }
 
+    /// The same without those that are suspected, and without any load: an allocator knows it better.
+    pub(super) fn engines_to_ask_for(&self, service: &Service, tried: &[TargetKey]) -> Vec<Engine> {
+        self.engines_with(&[], service, tried, false)
+    }
+
     /// The same without those that are suspected, and without the load of one of this instance's requests.
     pub(super) fn engines_without(
         &self,
--- a/src/entry/serve/find.rs
+++ b/src/entry/serve/find.rs
@@ -45,6 +45,8 @@
 impl Exchange {
     /// Finds a placement, waiting for one if necessary. How long depends on the kind of route.
     pub(super) async fn find_placement(&self) -> Result<(Placement, InFlight), GivenUp> {
+        let instance = &self.instance;
+        let since = instance.clock.now();
         if self.hold_time().is_none() && self.needs_permit() {
             match self.request_permit().await {
                 Permission::Granted(placement, in_flight) => return Ok((placement, in_flight)),
@@ -52,7 +54,6 @@
                 Permission::Unavailable => {}
             }
         }
-        let instance = &self.instance;
         let max_wait = match self.route.kind {
             // A caller that already has events cannot be told to retry.
             RouteKind::Stream { .. } if self.resumes => self.time_left(),
@@ -63,7 +64,6 @@
                 (self.route.objective / QUEUE_DIVISOR).min(self.time_left() / 4)
             }
         };
-        let since = instance.clock.now();
         let until = since + max_wait;
         let mut hold = None;
         let mut admission = Admission::new(self);
--- a/src/entry/serve/permit.rs
+++ b/src/entry/serve/permit.rs
@@ -96,11 +96,12 @@
     /// The own domain if an engine there is usable, otherwise the one with the most free slots.
     fn first_domain(&self) -> Option<DomainId> {
         let instance = &self.instance;
-        let engines = instance.engines(&self.service, &self.tried, false);
         let own = instance.settings.borrow().domain.clone();
-        if engines.iter().any(|engine| engine.local && engine.admits) {
+        let usable = instance.engines_to_ask_for(&self.service, &self.tried);
+        if usable.iter().any(|engine| engine.local && engine.admits) {
             return Some(own);
         }
+        let engines = instance.engines(&self.service, &self.tried, false);
         let free = |domain: &str| -> u32 {
             let engines = engines
                 .iter()
@@ -119,7 +120,7 @@
     fn ask(&self, domain: &str, redirected: bool) -> Option<Ask> {
         let instance = &self.instance;
         let now = instance.clock.now();
-        let engines = instance.engines(&self.service, &self.tried, false);
+        let engines = instance.engines_to_ask_for(&self.service, &self.tried);
         let admitted = |key: TargetKey| {
             engines
                 .iter()
@@ -155,7 +156,8 @@
     fn granted(&self, target: TargetKey, wait: Duration) -> Option<Placement> {
         let profile = self.service.profile.as_ref()?;
         let now = self.instance.clock.now();
-        let engines = self.instance.engines(&self.service, &self.tried, false);
+        let instance = &self.instance;
+        let engines = instance.engines_to_ask_for(&self.service, &self.tried);
         let engine = engines
             .iter()
             .find(|engine| engine.key == target && engine.admits)?;
