entry: Refuse statuses that do not exist

Cause: an answer with a status from 600 to 999 reached the caller with the reason phrase `<none>`. The HTTP library accepts any three digits from 100 on, and the proof did not look at the status. Change: an answer with a status above 599 is malformed, so its request may have run: 502 on a route that may run once, another target for a request that may be repeated, and its statements ("not executed", pauses) are not believed. The model has such answers, the invariant that no caller gets one, and a mutant without the guard.

--- a/model/src/refusal.rs
+++ b/model/src/refusal.rs
@@ -6,6 +6,9 @@
 
 use crate::{search, Case, Outcome, Spec};
 
+/// A status that no target may write.
+const INVALID_STATUS: u16 = 600;
+
 /// Upper bound on the states of one search.
 const MAX_STATES: usize = 100_000;
 
@@ -34,6 +37,8 @@
 pub struct State {
     /// The first answer on the connection of the current send.
     answer: Option<Evidence>,
+    /// Status that the caller got.
+    delivered: Option<StatusCode>,
     /// Targets that the instance believes to have refused the request.
     believed: Vec<usize>,
     /// Whether each target refused the request, and so may write that refusal again.
@@ -65,6 +70,15 @@
     }
 }
 
+/// A status beyond those that exist, and a statement that the request was not run.
+fn invalid() -> Option<Evidence> {
+    let status = StatusCode::from_u16(INVALID_STATUS).ok()?;
+    Some(Evidence {
+        status,
+        ..refusal(Echo::Same)
+    })
+}
+
 /// A signed answer to the request.
 const fn answer(status: StatusCode) -> Evidence {
     Evidence {
@@ -116,6 +130,11 @@
             refusal(Echo::Missing),
             refusal(Echo::Other),
         ];
+        let unstated = invalid().map(|invalid| Evidence {
+            not_run: false,
+            ..invalid
+        });
+        answers.extend(invalid().into_iter().chain(unstated));
         if state.refused[target] {
             answers.push(refusal(Echo::Same));
         }
@@ -132,7 +151,10 @@
         let mut next = state.clone();
         (next.answer, next.sent_to) = (None, None);
         match answer.verdict(self.guards) {
-            Verdict::Answer => next.told = Told::Answer,
+            Verdict::Answer => {
+                next.told = Told::Answer;
+                next.delivered = Some(answer.status);
+            }
             Verdict::Foreign | Verdict::Unproven => next.told = Told::Unknown,
             Verdict::NotRun => next.believed.push(target),
         }
@@ -146,6 +168,7 @@
     fn start(&self) -> State {
         State {
             answer: None,
+            delivered: None,
             believed: Vec::new(),
             refused: vec![false; self.targets],
             runs: 0,
@@ -174,7 +197,14 @@
             return Some("the request ran twice".into());
         }
         let is_false = state.told == Told::NotRun && state.runs > 0;
-        is_false.then(|| "the caller was told that the request was not run".into())
+        let is_invalid = |status: StatusCode| status.as_u16() >= INVALID_STATUS;
+        if is_false {
+            return Some("the caller was told that the request was not run".into());
+        }
+        state
+            .delivered
+            .is_some_and(is_invalid)
+            .then(|| "the caller got a status that does not exist".into())
     }
 }
 
@@ -206,6 +236,13 @@
                 ..all
             },
         ),
+        mutant(
+            "refusal without status",
+            Guards {
+                status: false,
+                ..all
+            },
+        ),
         mutant(
             "refusal without stated",
             Guards {
--- a/src/entry/proof.rs
+++ b/src/entry/proof.rs
@@ -20,6 +20,9 @@
     StatusCode::SERVICE_UNAVAILABLE,
 ];
 
+/// The largest status that exists (RFC 9110, section 15). A larger one has no meaning that a caller could act on.
+const MAX_STATUS: u16 = 599;
+
 /// Which request an answer names.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 pub enum Echo {
@@ -49,7 +52,8 @@
 pub enum Verdict {
     /// It answers the request.
     Answer,
-    /// It cannot be tied to the request or contradicts itself, so the request may have run.
+    /// It cannot be tied to the request, contradicts itself or has no final status that exists, so the request may have
+    /// run.
     Foreign,
     /// The target has not run the request and will not.
     NotRun,
@@ -66,6 +70,8 @@
     pub once_per_target: bool,
     /// A refusal must state that the request was not run.
     pub stated: bool,
+    /// An answer must have a status that exists.
+    pub status: bool,
 }
 
 impl Default for Guards {
@@ -74,6 +80,7 @@
             echo: true,
             once_per_target: true,
             stated: true,
+            status: true,
         }
     }
 }
@@ -105,7 +112,8 @@
     /// What this proves. A target may write an earlier answer once more, so only one that names the request counts.
     pub fn verdict(self, guards: Guards) -> Verdict {
         let is_tied = self.echo == Echo::Same || !guards.echo && self.echo == Echo::Missing;
-        if !is_tied || self.status.is_informational() {
+        let exists = self.status.as_u16() <= MAX_STATUS || !guards.status;
+        if !is_tied || !exists || self.status.is_informational() {
             return Verdict::Foreign;
         }
         if self.status.is_success() {
