hedge: Start budgets with a random part of a hedge

Cause: an instance earns 0.02 of a hedge for each of its requests and started with none. Change: each process starts with a part of a hedge drawn at random, so that the sum over the instances is the share of all requests on average.

--- a/src/entry/hedge/budget.rs
+++ b/src/entry/hedge/budget.rs
@@ -6,15 +6,25 @@
 
 /// Hedges that this instance may send, by service.
 ///
-/// Each request of the service earns a share of a hedge, and each hedge costs a whole one. An instance starts with none, so
-/// all instances together never send more than that share of their requests since they started.
+/// Each request of the service earns a share of a hedge, and each hedge costs a whole one. An instance starts with a part
+/// of one that is drawn at random: of many instances with few requests each, some reach a whole hedge early, and all
+/// together send that share of their requests on average. With nothing at the start, none of them would ever send one.
 #[derive(Clone, Debug, Default)]
 pub struct Budget {
     /// Sorted by service.
     services: Vec<(String, f64)>,
+    start: f64,
 }
 
 impl Budget {
+    /// A budget that starts with this part of a hedge for each service, from 0 to 1.
+    pub fn starting_at(start: f64) -> Budget {
+        Budget {
+            services: Vec::new(),
+            start: start.clamp(0.0, 1.0),
+        }
+    }
+
     /// Counts a request of a service, which earns `ratio` hedges.
     pub fn count_request(&mut self, service: &str, ratio: f64) {
         // False for NaN too.
@@ -46,7 +56,7 @@
 
     fn tokens(&mut self, service: &str) -> &mut f64 {
         let at = self.find(service).unwrap_or_else(|at| {
-            self.services.insert(at, (service.to_owned(), 0.0));
+            self.services.insert(at, (service.to_owned(), self.start));
             at
         });
         &mut self.services[at].1
--- a/src/entry/hedge/mod.rs
+++ b/src/entry/hedge/mod.rs
@@ -39,7 +39,7 @@
 }
 
 /// What an instance knows for its decisions on hedges.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Hedging {
     /// Hedges that may still be sent.
     pub budget: Budget,
@@ -49,6 +49,16 @@
     pub times: Times,
 }
 
+impl Default for Hedging {
+    fn default() -> Hedging {
+        Hedging {
+            budget: Budget::starting_at(fastrand::f64()),
+            outbox: Outbox::default(),
+            times: Times::default(),
+        }
+    }
+}
+
 impl Hedging {
     /// Adds a time that this instance measured. It is limited to the timeout of the route, which a timer may exceed.
     pub fn measure(&mut self, route: RouteKey, took: Duration, timeout: Duration, now: Duration) {
--- a/tests/entry_hedge.rs
+++ b/tests/entry_hedge.rs
@@ -393,6 +393,27 @@
     }
 }
 
+/// Load: many instances that see few requests each. Without a part of a hedge at the start none of them ever hedges; with
+/// random ones they send the share of their requests together, and one each beyond it at most.
+#[test]
+fn few_requests_each() {
+    let mut random = fastrand::Rng::with_seed(1);
+    let (instances, requests) = (1_000, 12);
+    let mut sent = 0;
+    for _ in 0..instances {
+        let mut budget = Budget::starting_at(random.f64());
+        for _ in 0..requests {
+            budget.count_request("s", 0.02);
+            sent += usize::from(budget.spend("s"));
+        }
+    }
+    let share = 0.02 * f64::from(instances * requests);
+    assert!(
+        (sent as f64 - share).abs() <= 0.2 * share,
+        "{sent} hedges of {share}"
+    );
+}
+
 /// Of the retry budget, hedges use only the first half, so that failed requests can still be retried.
 #[test]
 fn half_of_retries() {
