entry: Split view.rs into a folder

Change: Move the types and their functions to files of their own (work, permit, own, peer), and the two functions that order requests of several instances to order.rs. The code of the functions is unchanged.

--- a/src/entry/view.rs
+++ b/src/entry/view/mod.rs
@@ -1,72 +1,26 @@
+mod order;
+mod own;
+mod peer;
+mod permit;
+mod work;
+
 use std::time::Duration;
 
-use super::admission::{is_waiting, Waiting, Waitlist};
+use own::{OwnPrefill, OwnRequest};
+use peer::{insert_prefill, track, Peer, PeerPrefill};
+
+use super::admission::{Waiting, Waitlist};
 use super::permit::Update;
 use super::{Backlog, Heartbeat, Load, Prefill, Row, TargetKey};
-use crate::id::{Incarnation, InstanceId};
+use crate::id::Incarnation;
+
+pub use permit::Permit;
+pub use work::Work;
 
 /// Time without a heartbeat after which an instance's work is dropped: several heartbeats at the lowest rate were lost,
 /// so the instance is gone or unreachable.
 const PEER_TIMEOUT: Duration = Duration::from_millis(2_500);
 
-/// Time for which a long prompt is remembered even if its prefill is finished, because its parts delayed others at the
-/// same engines. Counts from the choice of its targets and covers the longest objective for a first event.
-const PREFILL_RETENTION: Duration = Duration::from_secs(3);
-
-/// The same for a prompt with short parts, which delay others little. Keeps heartbeats small.
-const SHORT_PART_RETENTION: Duration = Duration::from_millis(400);
-
-/// Maximum prefill time of a short part.
-const SHORT_PART: Duration = Duration::from_millis(60);
-
-/// Time without a heartbeat after which an instance's waiting prompts are not counted: two heartbeats at the lowest rate
-/// were lost. A cut between domains must not leave prompts of the other side ahead of those of this one.
-const WAITING_TIMEOUT: Duration = Duration::from_secs(1);
-
-/// A request of this instance and the engines that were chosen for it.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Work {
-    /// Whether newer work may be processed first, because the request misses its objective in any case.
-    pub background: bool,
-    /// Largest gap between events that it tolerates; zero without a stream.
-    pub gap: Duration,
-    /// Other targets that process a part of the prompt, and the tokens of context that each one stores.
-    pub helpers: Vec<(TargetKey, u32)>,
-    /// Prefill time of each part.
-    pub part_time: Duration,
-    /// Target that gets the request.
-    pub primary: TargetKey,
-    /// Random tie-breaker: if two instances choose the same targets at the same time, the lower rank is sent.
-    pub rank: u32,
-    /// Whether its prompt is short.
-    pub short: bool,
-    /// Whether its targets are held until earlier work there has ended, and get nothing yet.
-    pub held: bool,
-    /// Time at which its targets were chosen.
-    pub start: Duration,
-    /// Tokens of context at the primary target.
-    pub tokens: u32,
-}
-
-/// A slot that this instance granted and whose use is not confirmed yet.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Permit {
-    /// Time at which it expires without a confirmation.
-    pub expires: Duration,
-    /// Largest gap between events that the request tolerates.
-    pub gap: Duration,
-    /// Number; unique at this instance.
-    pub number: u64,
-    /// Prefill time of the prompt.
-    pub part_time: Duration,
-    /// Time at which it was granted.
-    pub start: Duration,
-    /// The target.
-    pub target: TargetKey,
-    /// Tokens of context.
-    pub tokens: u32,
-}
-
 /// Work of all instances at the targets, as far as this one knows.
 #[derive(Clone, Debug, Default)]
 pub struct View {
@@ -83,93 +37,6 @@
     waiting: Waitlist,
 }
 
-#[derive(Clone, Debug)]
-struct OwnRequest {
-    number: u64,
-    work: Work,
-}
-
-#[derive(Clone, Debug)]
-struct OwnPrefill {
-    prefill: Prefill,
-    start: Duration,
-}
-
-impl OwnPrefill {
-    /// The prompt as in a heartbeat that is sent now.
-    fn aged(&self, now: Duration) -> Prefill {
-        Prefill {
-            age_ms: millis(now.saturating_sub(self.start)),
-            ..self.prefill.clone()
-        }
-    }
-
-    fn retention(&self) -> Duration {
-        let part = Duration::from_millis(u64::from(self.prefill.part_ms));
-        if part <= SHORT_PART {
-            SHORT_PART_RETENTION
-        } else {
-            PREFILL_RETENTION
-        }
-    }
-}
-
-/// A prompt of another instance.
-#[derive(Clone, Debug)]
-struct PeerPrefill {
-    prefill: Prefill,
-    /// Time at which it was first reported.
-    reported: Duration,
-    start: Duration,
-}
-
-#[derive(Clone, Debug)]
-struct Peer {
-    incarnation: Incarnation,
-    instance: InstanceId,
-    last_heartbeat: Duration,
-    prefills: Vec<PeerPrefill>,
-    rows: Vec<Row>,
-    sequence: u64,
-    /// Changes of single rows that are newer than the last heartbeat, in order of their sequence.
-    updates: Vec<Update>,
-}
-
-impl Peer {
-    /// Its work at each target.
-    fn current_rows(&self) -> impl Iterator<Item = &Row> {
-        let newest = |row: &Row| {
-            let updates = self.updates.iter().rev();
-            updates
-                .map(|update| &update.row)
-                .find(|updated| updated.target == row.target)
-        };
-        let known = |target| self.rows.iter().any(|row| row.target == target);
-        let added = self.updates.iter().enumerate().filter(move |(at, update)| {
-            let later = &self.updates[at + 1..];
-            let is_newest = later
-                .iter()
-                .all(|later| later.row.target != update.row.target);
-            is_newest && !known(update.row.target)
-        });
-        let rows = self.rows.iter().map(move |row| newest(row).unwrap_or(row));
-        rows.chain(added.map(|(_, update)| &update.row))
-    }
-}
-
-impl Permit {
-    /// Its load as that of one request.
-    fn row(&self) -> Row {
-        Row {
-            gap_ms: millis(self.gap),
-            short: 1,
-            running: 1,
-            target: self.target,
-            tokens: self.tokens,
-        }
-    }
-}
-
 impl View {
     /// Adds a request of this instance; returns its number.
     pub fn start(&mut self, work: Work) -> u64 {
@@ -287,25 +154,6 @@
         self.waiting.remove(number);
     }
 
-    /// Prefill time, on one engine, of the prompts of all instances that have waited for the same service since before
-    /// a prompt of this instance.
-    pub fn waiting_ahead(&self, number: u64, now: Duration) -> Duration {
-        let Some(own) = self.waiting.get(number) else {
-            return Duration::ZERO;
-        };
-        let is_heard = |peer: &&Peer| now < peer.last_heartbeat + WAITING_TIMEOUT;
-        let peers = self.peers.iter().filter(is_heard);
-        let prefills = peers.flat_map(|peer| &peer.prefills);
-        let others = prefills.filter(|other| is_waiting(&other.prefill));
-        let others = others.map(|other| Waiting::new(&other.prefill, other.start));
-        others
-            .chain(self.waiting.all())
-            .filter(|other| other.precedes(&own))
-            .fold(Duration::ZERO, |sum, other| {
-                sum.saturating_add(other.prefill_time)
-            })
-    }
-
     fn prefill(&self, number: u64) -> Result<usize, usize> {
         self.prefills
             .binary_search_by_key(&number, |own| own.prefill.number)
@@ -349,35 +197,6 @@
         true
     }
 
-    /// Whether a request has to be withdrawn in favor of another instance's, for which some of the same targets were
-    /// chosen before either instance knew of the other choice. `window` is the time within which choices become known.
-    /// Both instances decide alike: the choice with the lower rank stands. A choice that is older by more than the
-    /// window stands in any case, since its instance did not know of this one.
-    pub fn gives_way(&self, number: u64, window: Duration) -> bool {
-        let Ok(at) = self.prefill(number) else {
-            return false;
-        };
-        let own = &self.prefills[at];
-        let conflicts = |other: &&PeerPrefill| {
-            let targets = &other.prefill.targets;
-            let shares = |target| targets.contains(target);
-            !other.prefill.finished
-                // Work that is already sent to a held target only has to end first.
-                && (other.prefill.held || !own.prefill.held)
-                && (own.prefill.background || !other.prefill.background)
-                && other.reported > own.start
-                && own.prefill.targets.iter().any(shares)
-        };
-        let wins = |other: &PeerPrefill| {
-            if other.start + window < own.start {
-                return true;
-            }
-            other.start <= own.start + window && other.prefill.rank < own.prefill.rank
-        };
-        let others = self.peers.iter().flat_map(|peer| &peer.prefills);
-        others.filter(conflicts).any(wins)
-    }
-
     /// Removes instances without recent heartbeats, and prompts that were prefilled long ago.
     pub fn expire(&mut self, now: Duration) {
         self.permits.retain(|permit| now < permit.expires);
@@ -470,31 +289,6 @@
     }
 }
 
-/// Converts a prompt from a heartbeat. The start is computed when the prompt is first reported and does not change
-/// after that.
-fn track(known: &[PeerPrefill], prefill: &Prefill, now: Duration) -> PeerPrefill {
-    let found = known.binary_search_by_key(&prefill.number, |known| known.prefill.number);
-    let age = Duration::from_millis(u64::from(prefill.age_ms));
-    let (reported, start) = match found {
-        Ok(at) => (known[at].reported, known[at].start),
-        Err(_) => (now, now.saturating_sub(age)),
-    };
-    PeerPrefill {
-        prefill: prefill.clone(),
-        reported,
-        start,
-    }
-}
-
-/// Adds a prompt unless it is known.
-fn insert_prefill(prefills: &mut Vec<PeerPrefill>, prefill: PeerPrefill) {
-    let number = prefill.prefill.number;
-    let found = prefills.binary_search_by_key(&number, |known| known.prefill.number);
-    if let Err(at) = found {
-        prefills.insert(at, prefill);
-    }
-}
-
 /// Milliseconds as in a heartbeat; times beyond 49 days count as that long.
 pub(super) fn millis(time: Duration) -> u32 {
     u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
