entry: Remove the cyclic import of follow and fragment_record

Cause: follow starts the task of fragment_record, which imported the reads and the counter of log calls from follow. Change: Move read_instances and count to log_call.rs, which both import. Behavior is unchanged.

--- a/src/entry/follow.rs
+++ b/src/entry/follow.rs
@@ -4,6 +4,7 @@
 use futures_lite::future::or;
 use smol::Timer;
 
+use super::log_call::{count, read_instances};
 use super::member::{shares_reads, Entry};
 use super::platform::{LogError, Topic, ANSWER_TIMEOUT};
 use super::Instance;
@@ -124,13 +125,6 @@
     read_instances(instance).await
 }
 
-pub(super) async fn read_instances(instance: &Instance) -> Result<(), LogError> {
-    let batch = instance.log.newest(Topic::Instances).await?;
-    count(instance, Topic::Instances.name(), "ok");
-    instance.apply(Topic::Instances, batch.records, batch.end, true);
-    Ok(())
-}
-
 fn entry(instance: &Instance) -> Result<(String, Vec<u8>), rmp_serde::encode::Error> {
     let settings = instance.settings.borrow();
     let entry = Entry {
@@ -261,11 +255,3 @@
     };
     (pause * 2).min(max)
 }
-
-pub(super) fn count(instance: &Instance, topic: &str, outcome: &str) {
-    instance
-        .metrics
-        .log_calls
-        .with_label_values(&[topic, outcome])
-        .inc();
-}
--- a/src/entry/fragment_record.rs
+++ b/src/entry/fragment_record.rs
@@ -3,7 +3,7 @@
 
 use smol::Timer;
 
-use super::follow::{count, read_instances};
+use super::log_call::{count, read_instances};
 use super::platform::{LogError, Topic};
 use super::{FragmentKey, Instance};
 use crate::event;
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -27,6 +27,7 @@
 mod instance;
 pub mod late;
 mod load;
+mod log_call;
 mod member;
 mod metric;
 mod pauses;
