entry: Keep the work of each target up to date

Cause: View::loads found the target of each row and each part of a prompt anew for each decision. Change: The view keeps rows and parts by target, changed with heartbeats, updates, permits, own work and expiry; loads only adds them up.

--- a/src/entry/backlog.rs
+++ b/src/entry/backlog.rs
@@ -35,6 +35,11 @@
         self.parts.insert(at, part);
     }
 
+    /// Removes all parts.
+    pub fn clear(&mut self) {
+        self.parts.clear();
+    }
+
     /// Remaining prefill time of all parts except background ones.
     pub fn ahead(&self, now: Duration) -> Duration {
         remaining(self.parts.iter().filter(|part| !part.background), now)
@@ -42,7 +47,10 @@
 
     /// Remaining prefill time of background parts, which engines postpone in favor of newer ones.
     pub fn background(&self, now: Duration) -> Duration {
-        remaining(self.parts.iter(), now).saturating_sub(self.ahead(now))
+        match self.parts.iter().any(|part| part.background) {
+            true => remaining(self.parts.iter(), now).saturating_sub(self.ahead(now)),
+            false => Duration::ZERO,
+        }
     }
 }
 
--- a/src/entry/view/mod.rs
+++ b/src/entry/view/mod.rs
@@ -1,3 +1,4 @@
+mod index;
 mod order;
 mod own;
 mod peer;
@@ -6,12 +7,13 @@
 
 use std::time::Duration;
 
+use index::{Index, Source};
 use own::{OwnPrefill, OwnRequest};
 use peer::{insert_prefill, track, Peer, PeerPrefill};
 
 use super::admission::{Waiting, Waitlist};
 use super::permit::Update;
-use super::{Backlog, Heartbeat, Load, Prefill, Row, TargetKey};
+use super::{Heartbeat, Load, Prefill, Row, TargetKey};
 use crate::id::Incarnation;
 
 pub use permit::Permit;
@@ -24,7 +26,11 @@
 /// Work of all instances at the targets, as far as this one knows.
 #[derive(Clone, Debug, Default)]
 pub struct View {
+    /// Work that counts, by target. Follows each change of the fields below.
+    index: Index,
     last_number: u64,
+    /// Number of the last heartbeat that was applied.
+    last_peer: u64,
     /// Slots that this instance granted and whose use is not confirmed yet.
     permits: Vec<Permit>,
     /// This instance's requests, sorted by number.
@@ -42,7 +48,7 @@
     pub fn start(&mut self, work: Work) -> u64 {
         self.last_number += 1;
         let helpers = work.helpers.iter().map(|(helper, _)| *helper);
-        self.prefills.push(OwnPrefill {
+        let own = OwnPrefill {
             prefill: Prefill {
                 age_ms: 0,
                 background: work.background,
@@ -54,18 +60,25 @@
                 targets: std::iter::once(work.primary).chain(helpers).collect(),
             },
             start: work.start,
-        });
-        self.own.push(OwnRequest {
+        };
+        own.index(&mut self.index);
+        self.prefills.push(own);
+        let request = OwnRequest {
             number: self.last_number,
             work,
-        });
+        };
+        request.index(&mut self.index);
+        self.own.push(request);
         self.last_number
     }
 
     /// Records that the prefill of a request is finished.
     pub fn finish_prefill(&mut self, number: u64) {
         if let Ok(at) = self.prefill(number) {
-            self.prefills[at].prefill.finished = true;
+            let prefill = &mut self.prefills[at].prefill;
+            prefill.finished = true;
+            self.index
+                .finish_parts(Source::Own(number), &prefill.targets);
         }
     }
 
@@ -74,14 +87,18 @@
         let found = self
             .own
             .binary_search_by_key(&number, |request| request.number);
-        let removed = found.ok().map(|at| self.own.remove(at).work);
+        let removed = found.ok().map(|at| self.own.remove(at));
+        if let Some(request) = &removed {
+            request.unindex(&mut self.index);
+        }
         match self.prefill(number) {
             // The end of the request also ended its prefill.
             Ok(at) if !self.prefills[at].prefill.finished => {
-                self.prefills.remove(at);
+                self.prefills.remove(at).unindex(&mut self.index);
             }
             Ok(_) | Err(_) => {}
         }
+        let removed = removed.map(|request| request.work);
         removed.filter(|work| !work.held).map(|work| work.primary)
     }
 
@@ -100,13 +117,17 @@
 
     /// Adds a slot that was granted to a request of any instance.
     pub fn grant(&mut self, permit: Permit) {
+        permit.index(&mut self.index);
         self.permits.push(permit);
     }
 
     /// Removes a granted slot whose use is confirmed, or that is not used.
     pub fn end_permit(&mut self, number: u64) -> bool {
         let before = self.permits.len();
-        self.permits.retain(|permit| permit.number != number);
+        let ended = self
+            .permits
+            .extract_if(.., |permit| permit.number == number);
+        ended.for_each(|permit| permit.unindex(&mut self.index));
         self.permits.len() < before
     }
 
@@ -135,9 +156,10 @@
             .binary_search_by_key(&update.sequence, sequence);
         if let (Err(at), true) = (found, update.sequence > peer.sequence) {
             if let Some(prefill) = &update.prefill {
-                insert_prefill(&mut peer.prefills, track(&[], prefill, now));
+                peer.add_prefill(track(&[], prefill, now), &mut self.index);
             }
             peer.updates.insert(at, update.clone());
+            peer.reindex_rows(update.row.target, &mut self.index);
         }
         self.end_permit(update.permit);
     }
@@ -181,17 +203,20 @@
         for prefill in updates.iter().filter_map(|update| update.prefill.as_ref()) {
             insert_prefill(&mut prefills, track(known, prefill, now));
         }
+        self.last_peer += 1;
         let peer = Peer {
             incarnation: heartbeat.incarnation,
             instance: heartbeat.instance.clone(),
             last_heartbeat: now,
+            number: self.last_peer,
             prefills,
             rows: heartbeat.rows.clone(),
             sequence: heartbeat.sequence,
             updates,
         };
+        peer.index(&mut self.index);
         match found {
-            Ok(at) => self.peers[at] = peer,
+            Ok(at) => std::mem::replace(&mut self.peers[at], peer).unindex(&mut self.index),
             Err(at) => self.peers.insert(at, peer),
         }
         true
@@ -199,11 +224,18 @@
 
     /// Removes instances without recent heartbeats, and prompts that were prefilled long ago.
     pub fn expire(&mut self, now: Duration) {
-        self.permits.retain(|permit| now < permit.expires);
+        let index = &mut self.index;
+        self.permits
+            .extract_if(.., |permit| now >= permit.expires)
+            .for_each(|permit| permit.unindex(index));
         self.prefills
-            .retain(|own| !own.prefill.finished || now < own.start + own.retention());
+            .extract_if(.., |own| {
+                own.prefill.finished && now >= own.start + own.retention()
+            })
+            .for_each(|own| own.unindex(index));
         self.peers
-            .retain(|peer| now < peer.last_heartbeat + PEER_TIMEOUT);
+            .extract_if(.., |peer| now >= peer.last_heartbeat + PEER_TIMEOUT)
+            .for_each(|peer| peer.unindex(index));
     }
 
     /// Number of this instance's requests at targets.
@@ -248,44 +280,7 @@
 
     /// Load of each target from all requests but one of this instance, sorted by target.
     pub fn loads_without(&self, number: Option<u64>, now: Duration) -> Vec<(TargetKey, Load)> {
-        let mut loads: Vec<(TargetKey, Load)> = Vec::new();
-        let mut backlogs: Vec<(TargetKey, Backlog)> = Vec::new();
-        for row in self.rows() {
-            add_row(&mut loads, &row);
-        }
-        let is_counted = |own: &&OwnPrefill| Some(own.prefill.number) != number;
-        for own in self.prefills.iter().filter(is_counted) {
-            add_prefill(&mut loads, &mut backlogs, &own.prefill, own.start, now);
-        }
-        for peer in self
-            .peers
-            .iter()
-            .filter(|peer| now < peer.last_heartbeat + PEER_TIMEOUT)
-        {
-            for row in peer.current_rows() {
-                add_row(&mut loads, row);
-            }
-            for prefill in &peer.prefills {
-                add_prefill(
-                    &mut loads,
-                    &mut backlogs,
-                    &prefill.prefill,
-                    prefill.start,
-                    now,
-                );
-            }
-        }
-        for permit in self.permits.iter().filter(|permit| now < permit.expires) {
-            add_row(&mut loads, &permit.row());
-            let backlog = backlog(&mut backlogs, permit.target);
-            backlog.add(permit.start, permit.part_time, false, false);
-        }
-        for (target, backlog) in backlogs {
-            let load = load(&mut loads, target);
-            load.backlog = backlog.ahead(now);
-            load.background = backlog.background(now);
-        }
-        loads
+        self.index.loads(number.map(Source::Own), now)
     }
 }
 
@@ -306,52 +301,3 @@
     });
     &mut rows[at]
 }
-
-fn load(loads: &mut Vec<(TargetKey, Load)>, target: TargetKey) -> &mut Load {
-    let found = loads.binary_search_by_key(&target, |(target, _)| *target);
-    let at = found.unwrap_or_else(|at| {
-        loads.insert(at, (target, Load::default()));
-        at
-    });
-    &mut loads[at].1
-}
-
-fn add_row(loads: &mut Vec<(TargetKey, Load)>, row: &Row) {
-    let load = load(loads, row.target);
-    load.short = load.short.saturating_add(row.short);
-    load.running = load.running.saturating_add(row.running);
-    load.tokens = load.tokens.saturating_add(row.tokens);
-    if row.gap_ms > 0 {
-        let gap = Duration::from_millis(u64::from(row.gap_ms));
-        load.gap = Some(load.gap.map_or(gap, |known| known.min(gap)));
-    }
-}
-
-/// Adds the parts of a prompt to the backlogs of its targets, and marks the targets that are held for it.
-fn add_prefill(
-    loads: &mut Vec<(TargetKey, Load)>,
-    backlogs: &mut Vec<(TargetKey, Backlog)>,
-    prefill: &Prefill,
-    start: Duration,
-    now: Duration,
-) {
-    // Parts that are not sent yet stay as long as they are.
-    let start = if prefill.held { now } else { start };
-    let part = Duration::from_millis(u64::from(prefill.part_ms));
-    for target in &prefill.targets {
-        if prefill.held {
-            load(loads, *target).held = true;
-        }
-        let backlog = backlog(backlogs, *target);
-        backlog.add(start, part, prefill.background, prefill.finished);
-    }
-}
-
-fn backlog(backlogs: &mut Vec<(TargetKey, Backlog)>, target: TargetKey) -> &mut Backlog {
-    let found = backlogs.binary_search_by_key(&target, |(target, _)| *target);
-    let at = found.unwrap_or_else(|at| {
-        backlogs.insert(at, (target, Backlog::default()));
-        at
-    });
-    &mut backlogs[at].1
-}
--- a/src/entry/view/permit.rs
+++ b/src/entry/view/permit.rs
@@ -1,5 +1,6 @@
 use std::time::Duration;
 
+use super::index::{Index, Origin, Part, Source};
 use super::millis;
 use crate::entry::{Row, TargetKey};
 
@@ -24,7 +25,7 @@
 
 impl Permit {
     /// Its load as that of one request.
-    pub(super) fn row(&self) -> Row {
+    fn row(&self) -> Row {
         Row {
             gap_ms: millis(self.gap),
             short: 1,
@@ -33,4 +34,28 @@
             tokens: self.tokens,
         }
     }
+
+    /// Adds its load.
+    pub(super) fn index(&self, index: &mut Index) {
+        let origin = Origin {
+            expires: self.expires,
+            source: Source::Permit(self.number),
+        };
+        let part = Part {
+            background: false,
+            finished: false,
+            held: false,
+            start: self.start,
+            time: self.part_time,
+        };
+        index.add_row(origin, self.row());
+        index.add_part(origin, self.target, part);
+    }
+
+    /// Removes its load.
+    pub(super) fn unindex(&self, index: &mut Index) {
+        let source = Source::Permit(self.number);
+        index.remove_rows(source, [self.target]);
+        index.remove_parts(source, [self.target]);
+    }
 }
