entry: Compute the remaining times of the reference in the test itself

Cause: The reference of entry_loads used Backlog, so that a fault in its sums would be on both sides. Change: The reference has its own computation of the remaining prefill time.

--- a/tests/loads_reference/mod.rs
+++ b/tests/loads_reference/mod.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use jujubehook::entry::permit::Update;
-use jujubehook::entry::{Backlog, Heartbeat, Load, Permit, Prefill, Row, TargetKey, Work};
+use jujubehook::entry::{Heartbeat, Load, Permit, Prefill, Row, TargetKey, Work};
 
 const PEER_TIMEOUT: Duration = Duration::from_millis(2_500);
 
@@ -215,8 +215,11 @@
     }
 }
 
+/// Start of a part, or of its wait if it is held, and its prompt.
+type Part<'a> = (Duration, &'a Prefill);
+
 fn sum(rows: &[Row], prefills: &[(Prefill, Duration)], now: Duration) -> Vec<(TargetKey, Load)> {
-    let mut sums: BTreeMap<TargetKey, (Load, Backlog)> = BTreeMap::new();
+    let mut sums: BTreeMap<TargetKey, (Load, Vec<Part<'_>>)> = BTreeMap::new();
     for row in rows {
         let (load, _) = sums.entry(row.target).or_default();
         load.running = load.running.saturating_add(row.running);
@@ -227,18 +230,34 @@
         load.gap = gaps.into_iter().flatten().min();
     }
     for (prefill, start) in prefills {
-        let time = Duration::from_millis(prefill.part_ms.into());
         let start = if prefill.held { now } else { *start };
         for target in &prefill.targets {
-            let (load, backlog) = sums.entry(*target).or_default();
+            let (load, parts) = sums.entry(*target).or_default();
             load.held |= prefill.held;
-            backlog.add(start, time, prefill.background, prefill.finished);
+            parts.push((start, prefill));
         }
     }
-    let loads = sums.into_iter().map(|(target, (mut load, backlog))| {
-        load.backlog = backlog.ahead(now);
-        load.background = backlog.background(now);
+    let loads = sums.into_iter().map(|(target, (mut load, mut parts))| {
+        parts.sort_by_key(|(start, _)| *start);
+        let all = remaining(&parts, now);
+        parts.retain(|(_, prefill)| !prefill.background);
+        load.backlog = remaining(&parts, now);
+        load.background = all.saturating_sub(load.backlog);
         (target, load)
     });
     loads.collect()
 }
+
+/// Prefill time that an engine still needs for parts, which it processes one at a time.
+fn remaining(parts: &[Part<'_>], now: Duration) -> Duration {
+    let time = |prefill: &Prefill| Duration::from_millis(prefill.part_ms.into());
+    let (mut left, mut last) = (Duration::ZERO, Duration::ZERO);
+    for (start, prefill) in parts {
+        left = left.saturating_sub(start.saturating_sub(last)) + time(prefill);
+        last = *start;
+    }
+    let unfinished = parts.iter().filter(|(_, prefill)| !prefill.finished);
+    let unfinished: Duration = unfinished.map(|(_, prefill)| time(prefill)).sum();
+    let left = left.saturating_sub(now.saturating_sub(last));
+    left.clamp(unfinished.mul_f64(0.1), unfinished)
+}
