entry: Keep the sums over the work of each target

Change: Each target has the sums over its work, renewed when the work changes; the remaining prefill time follows from sums and the time alone. They are added up anew only when work has expired, a part is held, or a request is left out.

--- a/src/entry/backlog.rs
+++ b/src/entry/backlog.rs
@@ -35,36 +35,79 @@
         self.parts.insert(at, part);
     }
 
-    /// Removes all parts.
-    pub fn clear(&mut self) {
-        self.parts.clear();
-    }
-
     /// Remaining prefill time of all parts except background ones.
     pub fn ahead(&self, now: Duration) -> Duration {
-        remaining(self.parts.iter().filter(|part| !part.background), now)
+        self.sums().ahead(now)
     }
 
     /// Remaining prefill time of background parts, which engines postpone in favor of newer ones.
     pub fn background(&self, now: Duration) -> Duration {
-        match self.parts.iter().any(|part| part.background) {
-            true => remaining(self.parts.iter(), now).saturating_sub(self.ahead(now)),
-            false => Duration::ZERO,
+        self.sums().background(now)
+    }
+
+    /// What the remaining times depend on besides the time.
+    pub(super) fn sums(&self) -> Sums {
+        let has_background = self.parts.iter().any(|part| part.background);
+        Sums {
+            ahead: Sum::new(self.parts.iter().filter(|part| !part.background)),
+            all: has_background.then(|| Sum::new(self.parts.iter())),
         }
     }
 }
 
-fn remaining<'a>(parts: impl Iterator<Item = &'a Part>, now: Duration) -> Duration {
-    let (mut remaining, mut last, mut unfinished) =
-        (Duration::ZERO, Duration::ZERO, Duration::ZERO);
-    for part in parts {
-        remaining = remaining.saturating_sub(part.start.saturating_sub(last)) + part.time;
-        last = part.start;
-        if !part.finished {
-            unfinished += part.time;
+/// Sums over the parts of a backlog.
+#[derive(Clone, Copy, Debug, Default)]
+pub(super) struct Sums {
+    /// Of all parts except background ones.
+    ahead: Sum,
+    /// Of all parts; none without background parts.
+    all: Option<Sum>,
+}
+
+impl Sums {
+    /// Remaining prefill time of all parts except background ones.
+    pub(super) fn ahead(&self, now: Duration) -> Duration {
+        self.ahead.remaining(now)
+    }
+
+    /// Remaining prefill time of background parts.
+    pub(super) fn background(&self, now: Duration) -> Duration {
+        self.all.map_or(Duration::ZERO, |all| {
+            all.remaining(now).saturating_sub(self.ahead(now))
+        })
+    }
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Sum {
+    /// Arrival of the last part.
+    last: Duration,
+    /// Time for which unfinished parts count at least.
+    min: Duration,
+    /// Remaining time at the arrival of the last part.
+    remaining: Duration,
+    /// Prefill time of unfinished parts.
+    unfinished: Duration,
+}
+
+impl Sum {
+    fn new<'a>(parts: impl Iterator<Item = &'a Part>) -> Sum {
+        let mut sum = Sum::default();
+        for part in parts {
+            let passed = part.start.saturating_sub(sum.last);
+            sum.remaining = sum.remaining.saturating_sub(passed) + part.time;
+            sum.last = part.start;
+            if !part.finished {
+                sum.unfinished += part.time;
+            }
         }
+        sum.min = sum.unfinished.mul_f64(MIN_REMAINING);
+        sum
+    }
+
+    fn remaining(&self, now: Duration) -> Duration {
+        self.remaining
+            .saturating_sub(now.saturating_sub(self.last))
+            .clamp(self.min, self.unfinished)
     }
-    remaining
-        .saturating_sub(now.saturating_sub(last))
-        .clamp(unfinished.mul_f64(MIN_REMAINING), unfinished)
 }
--- a/src/entry/view/index.rs
+++ b/src/entry/view/index.rs
@@ -1,5 +1,6 @@
 use std::time::Duration;
 
+use crate::entry::backlog::Sums;
 use crate::entry::{Backlog, Load, Prefill, Row, TargetKey};
 
 /// What a piece of work belongs to.
@@ -30,8 +31,8 @@
     pub(super) time: Duration,
 }
 
-/// Work of all instances by target, kept up to date as the work changes. To find the target of each piece of work anew
-/// took most of the time of a decision.
+/// Work of all instances by target, added up as the work changes. A decision would take most of its time to find the
+/// target of each piece of work and to add up the same values anew.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Index {
     /// Sorted by target; none is without work.
@@ -40,23 +41,46 @@
 
 #[derive(Clone, Debug)]
 struct Entry {
-    /// Sorted by start.
     parts: Vec<(Origin, Part)>,
     rows: Vec<(Origin, Row)>,
     target: TargetKey,
+    total: Total,
+}
+
+/// Sums over the work at one target.
+#[derive(Clone, Copy, Debug, Default)]
+struct Total {
+    /// Load without the remaining prefill times.
+    load: Load,
+    /// What the remaining prefill times depend on.
+    sums: Sums,
+    /// Time at which the first piece of work expires.
+    until: Duration,
+}
+
+impl Total {
+    fn load(&self, now: Duration) -> Load {
+        Load {
+            background: self.sums.background(now),
+            backlog: self.sums.ahead(now),
+            ..self.load
+        }
+    }
 }
 
 impl Index {
     /// Adds work at one target.
     pub(super) fn add_row(&mut self, origin: Origin, row: Row) {
-        self.entry(row.target).rows.push((origin, row));
+        let entry = self.entry(row.target);
+        entry.rows.push((origin, row));
+        entry.refresh();
     }
 
     /// Adds a part of a prompt at one target.
     pub(super) fn add_part(&mut self, origin: Origin, target: TargetKey, part: Part) {
-        let parts = &mut self.entry(target).parts;
-        let at = parts.partition_point(|(_, known)| known.start <= part.start);
-        parts.insert(at, (origin, part));
+        let entry = self.entry(target);
+        entry.parts.push((origin, part));
+        entry.refresh();
     }
 
     /// Adds the parts of a prompt.
@@ -113,9 +137,8 @@
     /// Load of each target at `now`, without the parts of prompts of the source `except`, sorted by target.
     pub(super) fn loads(&self, except: Option<Source>, now: Duration) -> Vec<(TargetKey, Load)> {
         let mut loads = Vec::with_capacity(self.entries.len());
-        let mut backlog = Backlog::default();
         for entry in &self.entries {
-            let load = entry.load(&mut backlog, except, now);
+            let load = entry.load(except, now);
             loads.extend(load.map(|load| (entry.target, load)));
         }
         loads
@@ -128,6 +151,7 @@
                 parts: Vec::new(),
                 rows: Vec::new(),
                 target,
+                total: Total::default(),
             };
             self.entries.insert(at, entry);
             at
@@ -141,6 +165,7 @@
         };
         let entry = &mut self.entries[at];
         change(entry);
+        entry.refresh();
         if entry.rows.is_empty() && entry.parts.is_empty() {
             self.entries.remove(at);
         }
@@ -153,26 +178,43 @@
 }
 
 impl Entry {
-    /// Its load; none without work that counts. `backlog` is overwritten: it is passed in so that its memory is reused.
-    fn load(&self, backlog: &mut Backlog, except: Option<Source>, now: Duration) -> Option<Load> {
+    /// Its load; none without work that counts.
+    fn load(&self, except: Option<Source>, now: Duration) -> Option<Load> {
+        // The start of held parts depends on the time.
+        if except.is_none() && now < self.total.until && !self.total.load.held {
+            return Some(self.total.load(now));
+        }
+        self.add_up(except, now).map(|total| total.load(now))
+    }
+
+    /// Updates the total after a change.
+    fn refresh(&mut self) {
+        // All work counts at the earliest time. Without work, the total is not used: it ends at that time.
+        self.total = self.add_up(None, Duration::ZERO).unwrap_or_default();
+    }
+
+    /// Sums over the work that counts at `now`; none without any.
+    fn add_up(&self, except: Option<Source>, now: Duration) -> Option<Total> {
         let mut load = Load::default();
-        let mut is_idle = true;
-        for (_, row) in self.rows.iter().filter(|(origin, _)| now < origin.expires) {
+        let mut backlog = Backlog::default();
+        let mut until: Option<Duration> = None;
+        let mut count = |origin: &Origin| {
+            until = Some(until.map_or(origin.expires, |until| until.min(origin.expires)));
+        };
+        for (origin, row) in self.rows.iter().filter(|(origin, _)| now < origin.expires) {
             add_row(&mut load, row);
-            is_idle = false;
+            count(origin);
         }
-        backlog.clear();
         let is_counted = |origin: &Origin| now < origin.expires && Some(origin.source) != except;
-        for (_, part) in self.parts.iter().filter(|(origin, _)| is_counted(origin)) {
+        for (origin, part) in self.parts.iter().filter(|(origin, _)| is_counted(origin)) {
             load.held |= part.held;
             // Parts that are not sent yet stay as long as they are.
             let start = if part.held { now } else { part.start };
             backlog.add(start, part.time, part.background, part.finished);
-            is_idle = false;
+            count(origin);
         }
-        load.backlog = backlog.ahead(now);
-        load.background = backlog.background(now);
-        (!is_idle).then_some(load)
+        let sums = backlog.sums();
+        until.map(|until| Total { load, sums, until })
     }
 }
 
