entry: Add up the work of a target at the first decision after a change

Each heartbeat and update renewed the sums of the targets that it names, also at instances that decide little: one of 94 receives some 400 heartbeats a second and serves about one request. The sums are now renewed by the first decision that needs them.

--- a/src/entry/view/index.rs
+++ b/src/entry/view/index.rs
@@ -1,3 +1,4 @@
+use std::cell::Cell;
 use std::time::Duration;
 
 use crate::entry::backlog::Sums;
@@ -44,7 +45,8 @@
     parts: Vec<(Origin, Part)>,
     rows: Vec<(Origin, Row)>,
     target: TargetKey,
-    total: Total,
+    /// None after a change: most instances apply many more changes than they make decisions.
+    total: Cell<Option<Total>>,
 }
 
 /// Sums over the work at one target.
@@ -73,14 +75,14 @@
     pub(super) fn add_row(&mut self, origin: Origin, row: Row) {
         let entry = self.entry(row.target);
         entry.rows.push((origin, row));
-        entry.refresh();
+        entry.total.set(None);
     }
 
     /// Adds a part of a prompt at one target.
     pub(super) fn add_part(&mut self, origin: Origin, target: TargetKey, part: Part) {
         let entry = self.entry(target);
         entry.parts.push((origin, part));
-        entry.refresh();
+        entry.total.set(None);
     }
 
     /// Adds the parts of a prompt.
@@ -151,7 +153,7 @@
                 parts: Vec::new(),
                 rows: Vec::new(),
                 target,
-                total: Total::default(),
+                total: Cell::default(),
             };
             self.entries.insert(at, entry);
             at
@@ -165,7 +167,7 @@
         };
         let entry = &mut self.entries[at];
         change(entry);
-        entry.refresh();
+        entry.total.set(None);
         if entry.rows.is_empty() && entry.parts.is_empty() {
             self.entries.remove(at);
         }
@@ -181,16 +183,22 @@
     /// Its load; none without work that counts.
     fn load(&self, except: Option<Source>, now: Duration) -> Option<Load> {
         // The start of held parts depends on the time.
-        if except.is_none() && now < self.total.until && !self.total.load.held {
-            return Some(self.total.load(now));
+        let total = self.total();
+        if except.is_none() && now < total.until && !total.load.held {
+            return Some(total.load(now));
         }
         self.add_up(except, now).map(|total| total.load(now))
     }
 
-    /// Updates the total after a change.
-    fn refresh(&mut self) {
+    /// The total of all work, computed after a change.
+    fn total(&self) -> Total {
+        if let Some(total) = self.total.get() {
+            return total;
+        }
         // All work counts at the earliest time. Without work, the total is not used: it ends at that time.
-        self.total = self.add_up(None, Duration::ZERO).unwrap_or_default();
+        let total = self.add_up(None, Duration::ZERO).unwrap_or_default();
+        self.total.set(Some(total));
+        total
     }
 
     /// Sums over the work that counts at `now`; none without any.
