entry: Serve requests behind one that fits no engine

The allocator stopped at the first waiting request that did not fit any engine, and the queue refused new requests at arrival because of it, also on an idle domain.

Requests behind it that fit are now served in the order of the queue. The blocked one keeps its place, and one engine is kept for it, so that small requests do not use all memory that becomes free.

`blocked_head` and `blocked_arrival` fail without the change. `blocked_is_served` fails if no engine is kept.

--- a/src/entry/permit/allocator.rs
+++ b/src/entry/permit/allocator.rs
@@ -1,6 +1,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use super::blocked::{keep, Blocked};
 use super::returns::Returns;
 use super::{Ask, Reply};
 use crate::entry::queue::{Admission, FreeRate, Queue, Waiting};
@@ -53,6 +54,21 @@
 }
 
 impl Known {
+    /// Time from the start of a request until its first event.
+    pub(super) fn time_to_first_event(&self, prompt: u32) -> Duration {
+        let passes = self.pass_time().mul_f64(PASSES_TO_FIRST_EVENT);
+        passes + self.profile.prefill_time(prompt)
+    }
+
+    /// The same while an engine is kept for another request.
+    fn without(mut self, kept: Option<TargetKey>) -> Known {
+        let engines = self.engines.iter_mut();
+        for engine in engines.filter(|engine| Some(engine.key) == kept) {
+            engine.admits = false;
+        }
+        self
+    }
+
     /// Mean time of a decode pass of the engines, with what runs there.
     fn pass_time(&self) -> Duration {
         let passes = self.engines.iter();
@@ -111,6 +127,8 @@
 struct Waiter {
     ask: Ask,
     asker: Asker,
+    /// Engine that is kept for it, because it was due first and did not fit any while others did.
+    kept: Option<TargetKey>,
     /// Number in the queue.
     number: u64,
     received: Duration,
@@ -168,21 +186,42 @@
         let Some(known) = slots.known(&ask) else {
             return vec![answered(UNKNOWN_SERVICE)];
         };
-        match self.decide(&ask, Duration::ZERO, &known) {
+        let decision = self.decide(&ask, Duration::ZERO, &known);
+        match &decision {
             // Requests that wait are due first.
             Decision::Grant(placement) if self.waiting.is_empty() => {
-                let reply = self.grant(&ask, &placement, slots, now);
+                let reply = self.grant(&ask, placement, slots, now);
                 vec![answered(reply)]
             }
-            Decision::Elsewhere(domain) => vec![answered(Reply::Elsewhere { domain })],
+            Decision::Elsewhere(domain) => {
+                let domain = domain.clone();
+                vec![answered(Reply::Elsewhere { domain })]
+            }
             Decision::Grant(_) | Decision::Full => {
-                let mut answers = self.enqueue(asker, ask, &known, now);
+                let mut answers = self.enqueue(asker, ask.clone(), &known, now);
+                let own = answers.len() - 1;
                 answers.extend(self.serve(slots, now));
+                let is_refused = matches!(answers[own].reply, Reply::Refused { .. });
+                if is_refused && matches!(decision, Decision::Grant(_)) {
+                    let granted = self.pass(&ask, slots, now);
+                    answers[own].reply = granted.unwrap_or_else(|| answers[own].reply.clone());
+                }
                 answers
             }
         }
     }
 
+    /// Grants a slot that no waiting request can use to one that cannot wait.
+    fn pass(&mut self, ask: &Ask, slots: &dyn Slots, now: Duration) -> Option<Reply> {
+        let head = self.queue.head().map(|head| head.number);
+        let kept = head.and_then(|number| self.waiter(number)?.kept);
+        let known = slots.known(ask)?.without(kept);
+        match self.decide(ask, Duration::ZERO, &known) {
+            Decision::Grant(placement) => Some(self.grant(ask, &placement, slots, now)),
+            Decision::Elsewhere(_) | Decision::Full => None,
+        }
+    }
+
     /// Records that a slot became free, and grants it to the request that is due first.
     pub fn free(&mut self, slots: &dyn Slots, now: Duration) -> Vec<Answered> {
         self.rate.record(1, now);
@@ -223,31 +262,91 @@
         answers
     }
 
-    /// Grants free slots to the requests that are due first.
+    /// Grants free slots to the requests that are due first, then to others that fit where the first one does not.
     fn drain(&mut self, slots: &dyn Slots, now: Duration) -> Vec<Answered> {
         let mut answers = Vec::new();
+        let mut blocked = Blocked::default();
         while let Some(number) = self.queue.head().map(|head| head.number) {
-            let found = self.waiting.iter().find(|waiter| waiter.number == number);
-            let Some(waiter) = found.cloned() else {
-                self.queue.remove(number, false);
-                continue;
-            };
-            let age = now.saturating_sub(waiter.received);
-            let known = slots.known(&waiter.ask);
-            let decision = known.map(|known| self.decide(&waiter.ask, age, &known));
-            let reply = match decision {
-                Some(Decision::Grant(placement)) => self.grant(&waiter.ask, &placement, slots, now),
-                Some(Decision::Elsewhere(domain)) => Reply::Elsewhere { domain },
-                Some(Decision::Full) => break,
-                None => UNKNOWN_SERVICE,
-            };
-            let is_served = matches!(reply, Reply::Grant { .. });
-            self.queue.remove(number, is_served);
-            answers.extend(self.answer(number, reply));
+            if !self.settle(number, None, &mut blocked, &mut answers, slots, now) {
+                answers.extend(self.drain_others(number, blocked, slots, now));
+                break;
+            }
+        }
+        answers
+    }
+
+    /// Grants free slots to the requests behind the blocked one that is due first. That one keeps its place, and one
+    /// engine is kept for it: small requests that always find room would otherwise never leave enough for a large one.
+    fn drain_others(
+        &mut self,
+        first: u64,
+        mut blocked: Blocked,
+        slots: &dyn Slots,
+        now: Duration,
+    ) -> Vec<Answered> {
+        let mut answers = Vec::new();
+        let kept = self.waiter(first).and_then(|waiter| waiter.kept);
+        let others: Vec<u64> = self.queue.order().skip(1).collect();
+        for number in others {
+            if blocked.is_done() {
+                break;
+            }
+            let is_blocked = |waiter: &Waiter| blocked.includes(&waiter.ask);
+            if self.waiter(number).is_none_or(|waiter| !is_blocked(waiter)) {
+                self.settle(number, kept, &mut blocked, &mut answers, slots, now);
+            }
         }
         answers
     }
 
+    /// Decides on a waiting request while `kept` is kept for another one. False if it does not fit and goes on waiting.
+    fn settle(
+        &mut self,
+        number: u64,
+        kept: Option<TargetKey>,
+        blocked: &mut Blocked,
+        answers: &mut Vec<Answered>,
+        slots: &dyn Slots,
+        now: Duration,
+    ) -> bool {
+        let Some(waiter) = self.waiter(number).cloned() else {
+            self.queue.remove(number, false);
+            return true;
+        };
+        let age = now.saturating_sub(waiter.received);
+        let reply = match slots.known(&waiter.ask).map(|known| known.without(kept)) {
+            Some(known) => match self.decide(&waiter.ask, age, &known) {
+                Decision::Grant(placement) => self.grant(&waiter.ask, &placement, slots, now),
+                Decision::Elsewhere(domain) => Reply::Elsewhere { domain },
+                Decision::Full => {
+                    let is_first = blocked.is_empty();
+                    if blocked.add(&waiter.ask, age, &known) && is_first {
+                        self.keep(number, &known);
+                    }
+                    return false;
+                }
+            },
+            None => UNKNOWN_SERVICE,
+        };
+        let is_served = matches!(reply, Reply::Grant { .. });
+        self.queue.remove(number, is_served);
+        answers.extend(self.answer(number, reply));
+        true
+    }
+
+    /// Keeps an engine for a blocked request.
+    fn keep(&mut self, number: u64, known: &Known) {
+        let mut waiting = self.waiting.iter_mut();
+        if let Some(waiter) = waiting.find(|waiter| waiter.number == number) {
+            waiter.kept = keep(waiter.kept, &waiter.ask, known);
+        }
+    }
+
+    fn waiter(&self, number: u64) -> Option<&Waiter> {
+        let mut waiting = self.waiting.iter();
+        waiting.find(|waiter| waiter.number == number)
+    }
+
     /// The decision on an ask that was received `age` ago.
     fn decide(&mut self, ask: &Ask, age: Duration, known: &Known) -> Decision {
         let requirements = Requirements {
@@ -309,8 +408,7 @@
     /// Queues an ask or refuses it; refuses those that it displaces.
     fn enqueue(&mut self, asker: Asker, ask: Ask, known: &Known, now: Duration) -> Vec<Answered> {
         let number = self.number();
-        let prefill = known.profile.prefill_time(ask.prompt);
-        let to_first_event = known.pass_time().mul_f64(PASSES_TO_FIRST_EVENT) + prefill;
+        let to_first_event = known.time_to_first_event(ask.prompt);
         let waiting = Waiting {
             arrival: now,
             cost: SLOT_TIME,
@@ -339,6 +437,7 @@
             self.waiting.push(Waiter {
                 ask,
                 asker,
+                kept: None,
                 number,
                 received: now,
                 repeated: now,
--- a/src/entry/permit/mod.rs
+++ b/src/entry/permit/mod.rs
@@ -6,6 +6,7 @@
 //! the requests that wait for one. `docs/design/permits.md` describes the messages and what happens when a part fails.
 
 mod allocator;
+mod blocked;
 mod elect;
 mod message;
 mod returns;
--- a/tests/entry_permits.rs
+++ b/tests/entry_permits.rs
@@ -184,6 +184,107 @@
     );
 }
 
+/// Load: the first waiting request excludes the only engine with a free slot. It must not block another one, and gets
+/// the next slot that it can use before a request that came later.
+#[test]
+fn blocked_head() {
+    let (domain, mut allocator) = (Domain::new(2, 1), Allocator::new(1));
+    let grants: Vec<Reply> = (1..=2)
+        .map(|number| domain.ask(&mut allocator, ask(number), ms(0))[0].1.clone())
+        .collect();
+    let Reply::Grant { target, .. } = grants[0] else {
+        panic!("not a grant: {grants:?}");
+    };
+    let urgent = Ask {
+        priority: 0,
+        excluded: vec![target],
+        ..ask(3)
+    };
+    let other = |number| Ask {
+        priority: 1,
+        objective_ms: 60_000,
+        left_ms: 60_000,
+        ..ask(number)
+    };
+    for waiting in [urgent, other(4), other(5)] {
+        assert_eq!(
+            domain.ask(&mut allocator, waiting, ms(0))[0].1,
+            Reply::Queued
+        );
+    }
+    for (granted, expected) in grants.iter().zip([4, 3]) {
+        domain.view.borrow_mut().end_permit(permit(granted));
+        let answers = replies(allocator.free(&domain, ms(0)));
+        let numbers: Vec<u64> = answers.iter().map(|(number, _)| *number).collect();
+        assert_eq!(numbers, [expected], "{answers:?}");
+    }
+}
+
+/// Load: the first waiting request fits no engine, and nothing ran before. A new request that fits must not be refused
+/// for it.
+#[test]
+fn blocked_arrival() {
+    let (domain, mut allocator) = (Domain::new(2, 4), Allocator::new(1));
+    let keys = domain.engines.iter().map(|engine| engine.key);
+    let excluding = Ask {
+        excluded: keys.collect(),
+        ..ask(1)
+    };
+    let waits = domain.ask(&mut allocator, excluding, ms(0));
+    assert_eq!(waits, [(1, Reply::Queued)]);
+    for number in 2..8 {
+        let answers = domain.ask(&mut allocator, ask(number), ms(number));
+        let granted = |(_, reply): &(u64, Reply)| matches!(reply, Reply::Grant { .. });
+        assert!(answers.iter().any(granted), "{answers:?}");
+    }
+}
+
+/// Load: the first waiting request needs more memory than is free, and small requests that follow each other would use
+/// what becomes free. An engine is kept for it, so it starts once the work there has ended.
+#[test]
+fn blocked_is_served() {
+    let (domain, mut allocator) = (Domain::new(3, 16), Allocator::new(1));
+    let small = |number| Ask {
+        tokens: 100_000,
+        ..ask(number)
+    };
+    let large = Ask {
+        tokens: 350_000,
+        ..ask(10_000)
+    };
+    let mut running: Vec<(u64, u64)> = Vec::new();
+    let mut passed = 0;
+    for now in 0..3_000 {
+        domain.now.set(ms(now));
+        let ended: Vec<_> = running.extract_if(.., |(end, _)| *end <= now).collect();
+        let mut answers = Vec::new();
+        for (_, permit) in ended {
+            domain.view.borrow_mut().end_permit(permit);
+            answers.extend(replies(allocator.free(&domain, ms(now))));
+        }
+        if now == 500 || now > 500 && now % 100 == 0 {
+            answers.extend(domain.ask(&mut allocator, large.clone(), ms(now)));
+        }
+        if now % 32 == 0 {
+            answers.extend(domain.ask(&mut allocator, small(now), ms(now)));
+        }
+        let is_large = |(number, reply): &(u64, Reply)| {
+            *number == 10_000 && matches!(reply, Reply::Grant { .. })
+        };
+        if answers.iter().any(is_large) {
+            assert!(passed >= 3, "{passed} small ones went first");
+            return;
+        }
+        for (_, reply) in &answers {
+            if let Reply::Grant { permit, .. } = reply {
+                passed += u32::from(now > 500);
+                running.push((now + 250, *permit));
+            }
+        }
+    }
+    panic!("not served, {passed} small ones went first");
+}
+
 /// Failure: the service of the first waiting request is removed from the configuration. It is refused; others are served.
 #[test]
 fn removed_service() {
