entry: Bound the processor share and the running count in heartbeats

`processor` of a heartbeat had no upper bound, so one wrong value won every election of an allocator. It is at most 8,192 cores now, the most that Linux supports; a heartbeat above is dropped with `beat_unreadable`, which names field, value and maximum. A larger setting counts as that many.

A whole heartbeat was dropped above 10,000 running requests at one target. An instance can have that many at a plain target that stalls: `pick` has no limit at the slots of a target, and callers are limited by memory only. The bound is 65,535 now, the ports of one address to one target, each of which carries one request.

--- a/src/entry/heartbeat.rs
+++ b/src/entry/heartbeat.rs
@@ -3,6 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::hedge::Sample;
+use super::permit::{check_processor, check_row, Malformed};
 use super::quarantine::Report;
 use super::{Position, TargetKey};
 use crate::id::{DomainId, Incarnation, InstanceId};
@@ -86,6 +87,15 @@
 }
 
 impl Heartbeat {
+    /// Checks its counts and its processor share.
+    ///
+    /// # Errors
+    /// Returns the first value that is out of its range.
+    pub fn check(&self) -> Result<(), Malformed> {
+        check_processor(self.processor)?;
+        self.rows.iter().try_for_each(check_row)
+    }
+
     /// Whether it carries no news compared with the earlier heartbeat `before`. Samples are no news, since they can wait
     /// for the next heartbeat.
     pub fn repeats(&self, before: &Heartbeat) -> bool {
--- a/src/entry/peer.rs
+++ b/src/entry/peer.rs
@@ -8,7 +8,7 @@
 use smol::Timer;
 
 use super::admission::is_plausible;
-use super::permit::{check_row, Envelope, Malformed};
+use super::permit::Envelope;
 use super::platform::{LocalBoxFuture, Topic};
 use super::{permits, transfer, Fanout, Heartbeat, Instance};
 use crate::event;
@@ -277,11 +277,6 @@
     }
 }
 
-/// Checks the counts of a heartbeat.
-fn check(heartbeat: &Heartbeat) -> Result<(), Malformed> {
-    heartbeat.rows.iter().try_for_each(check_row)
-}
-
 /// Reports a sender of another format, once.
 fn report_foreign(
     instance: &Instance,
@@ -313,7 +308,7 @@
 
 fn receive(instance: &Instance, heartbeat: &Heartbeat, from: SocketAddr) {
     let now = instance.clock.now();
-    if let Err(error) = check(heartbeat) {
+    if let Err(error) = heartbeat.check() {
         event!(
             warn,
             instance.source,
--- a/src/entry/permit/message.rs
+++ b/src/entry/permit/message.rs
@@ -16,8 +16,13 @@
 /// Maximum number of messages that are sent in one datagram: even the largest asks stay far below its maximum size.
 const SENT_MESSAGES: usize = 64;
 
-/// Maximum number of requests that one instance can run at one target: more than any target queues.
-const MAX_RUNNING: u32 = 10_000;
+/// Maximum number of requests that one instance can run at one target: each needs a connection of its own, and one address
+/// has that many ports. A plain target that stalls can get more than 10,000 from an instance, whose requests are limited
+/// by its memory only.
+const MAX_RUNNING: u32 = 65_535;
+
+/// Maximum share of a processor core in thousandths: the largest number of cores that Linux supports, 8,192.
+pub const MAX_PROCESSOR: u32 = 8_192_000;
 
 /// Maximum time in a message, in milliseconds: an hour, longer than any deadline.
 const MAX_TIME_MS: u32 = 3_600_000;
@@ -230,6 +235,14 @@
     check("short", u64::from(row.short), running)
 }
 
+/// Checks the processor share of an instance, in thousandths of a core.
+///
+/// # Errors
+/// Returns the value if it is out of its range.
+pub fn check_processor(share: u32) -> Result<(), Malformed> {
+    check("processor", u64::from(share), u64::from(MAX_PROCESSOR))
+}
+
 fn check_time(field: &'static str, ms: u32) -> Result<(), Malformed> {
     check(field, u64::from(ms), u64::from(MAX_TIME_MS))
 }
--- a/src/entry/permit/mod.rs
+++ b/src/entry/permit/mod.rs
@@ -14,5 +14,6 @@
 pub use allocator::{Allocator, Answered, Asker, Known, Room, Slots};
 pub use elect::{elect, Candidate, Unresponsive};
 pub use message::{
-    batch, check_row, Ask, Envelope, Malformed, Message, Reply, Update, MAX_EXCLUDED,
+    batch, check_processor, check_row, Ask, Envelope, Malformed, Message, Reply, Update,
+    MAX_EXCLUDED, MAX_PROCESSOR,
 };
--- a/src/entry/permits.rs
+++ b/src/entry/permits.rs
@@ -12,7 +12,7 @@
 
 use super::permit::{
     batch, elect, Allocator, Answered, Ask, Asker, Candidate, Envelope, Known, Message, Reply,
-    Room, Slots, Unresponsive, Update,
+    Room, Slots, Unresponsive, Update, MAX_PROCESSOR,
 };
 use super::{Engine, Instance, Permit, TargetKey};
 use crate::event;
@@ -165,7 +165,7 @@
         let settings = self.settings.borrow();
         match self.is_stopping() || settings.permit_instances.is_none() {
             true => 0,
-            false => (settings.processor * 1e3) as u32,
+            false => ((settings.processor * 1e3) as u32).min(MAX_PROCESSOR),
         }
     }
 
