entry: Ask the own domain again after a refusal by another one

A request that its own domain redirected (`Elsewhere`) was refused when the other domain refused it, without a try of the queue of its own domain.

The domains that are asked are decided by `permit::Search`, which goes back to the own domain after such a refusal; the reply there is final. It costs an ask and a reply for requests that would have been refused. `refused_elsewhere` tests it.

--- a/src/entry/permit/mod.rs
+++ b/src/entry/permit/mod.rs
@@ -10,6 +10,7 @@
 mod elect;
 mod message;
 mod returns;
+mod search;
 
 pub use allocator::{Allocator, Answered, Asker, Known, Room, Slots};
 pub use elect::{elect, Candidate, Unresponsive};
@@ -17,3 +18,4 @@
     batch, check_processor, check_row, Ask, Envelope, Malformed, Message, Reply, Update,
     MAX_EXCLUDED, MAX_PROCESSOR,
 };
+pub use search::Search;
--- a/src/entry/serve/permit.rs
+++ b/src/entry/serve/permit.rs
@@ -1,7 +1,7 @@
 use super::find::saturate;
 use super::outcome::GivenUp;
 use super::{Exchange, InFlight};
-use crate::entry::permit::{Ask, Reply, MAX_EXCLUDED};
+use crate::entry::permit::{Ask, Reply, Search, MAX_EXCLUDED};
 use crate::entry::{is_long, Placement, TargetKey};
 use crate::error::Kind;
 use crate::event;
@@ -9,9 +9,6 @@
 use std::time::Duration;
 use xxhash_rust::xxh3::xxh3_64;
 
-/// Maximum number of asks of one search for a placement: the own domain, another one, and a permit that cannot be used.
-const MAX_ASKS: u32 = 4;
-
 /// Outcome of the search for a slot through allocators.
 pub(super) enum Permission {
     Granted(Placement, InFlight),
@@ -20,13 +17,6 @@
     Unavailable,
 }
 
-/// Times and counts of one search, for the log.
-struct Search {
-    asks: u32,
-    domain: DomainId,
-    since: Duration,
-}
-
 impl Exchange {
     /// Whether the request gets its slot from an allocator. A trial, and a stream that may only go on at targets where it
     /// ran, are restricted to some engines and are placed by the instance.
@@ -45,20 +35,15 @@
         let Some(domain) = self.first_domain() else {
             return Permission::Unavailable;
         };
-        let mut search = Search {
-            asks: 0,
-            domain,
-            since: instance.clock.now(),
-        };
+        let since = instance.clock.now();
         let own = instance.settings.borrow().domain.clone();
         // A domain whose allocator did not reply may be partitioned, so the own one does not redirect meanwhile.
-        let mut redirected = instance.lacks_reply_elsewhere();
-        while search.asks < MAX_ASKS {
-            search.asks += 1;
-            let Some(allocator) = instance.allocator(&search.domain) else {
+        let mut search = Search::new(domain, own, instance.lacks_reply_elsewhere());
+        while search.start_ask() {
+            let Some(allocator) = instance.allocator(search.domain()) else {
                 break;
             };
-            let Some(ask) = self.ask(&search.domain, redirected) else {
+            let Some(ask) = self.ask(search.domain(), search.is_redirected()) else {
                 break;
             };
             let number = ask.number;
@@ -70,26 +55,25 @@
                 }) => {
                     let wait = Duration::from_millis(u64::from(wait_ms));
                     if let Some(placement) = self.granted(target, wait) {
-                        self.log_permit(&search, "granted", None);
+                        self.log_permit(&search, since, "granted", None);
                         let in_flight = self.start_permitted(&placement, permit);
                         return Permission::Granted(placement, in_flight);
                     }
                     instance.decline(&allocator, number, permit);
                 }
+                Some(Reply::Refused { .. }) if search.refused() => {}
                 Some(Reply::Refused { retry_ms }) => {
                     let retry = Duration::from_millis(u64::from(retry_ms));
-                    self.log_permit(&search, "refused", Some(retry));
+                    self.log_permit(&search, since, "refused", Some(retry));
                     return Permission::Refused(self.refused(retry));
                 }
-                Some(Reply::Elsewhere { domain }) => (search.domain, redirected) = (domain, true),
+                Some(Reply::Elsewhere { domain }) => search.redirect(domain),
                 // The other domain may be partitioned since it was named.
-                None if search.domain != own => {
-                    (search.domain, redirected) = (own.clone(), true);
-                }
+                None if search.fall_back() => {}
                 Some(Reply::Queued) | None => break,
             }
         }
-        self.log_permit(&search, "unavailable", None);
+        self.log_permit(&search, since, "unavailable", None);
         Permission::Unavailable
     }
 
@@ -187,10 +171,16 @@
     }
 
     /// Logs the end of a search that did not get its slot at once.
-    fn log_permit(&self, search: &Search, outcome: &'static str, retry: Option<Duration>) {
+    fn log_permit(
+        &self,
+        search: &Search,
+        since: Duration,
+        outcome: &'static str,
+        retry: Option<Duration>,
+    ) {
         let instance = &self.instance;
-        let took = instance.clock.now().saturating_sub(search.since);
-        if outcome == "granted" && search.asks == 1 && took < LOGGED_WAIT {
+        let took = instance.clock.now().saturating_sub(since);
+        if outcome == "granted" && search.asks() == 1 && took < LOGGED_WAIT {
             return;
         }
         event!(
@@ -198,8 +188,8 @@
             "permit",
             request = self.request.id.as_str(),
             outcome = outcome,
-            of = search.domain.as_str(),
-            asks = search.asks,
+            of = search.domain(),
+            asks = search.asks(),
             ms = took.as_millis() as u64,
             retry_ms = retry.map(|retry| retry.as_millis() as u64)
         );
--- a/tests/entry_permits.rs
+++ b/tests/entry_permits.rs
@@ -7,7 +7,7 @@
 
 use entry_fixtures::ms;
 use jujubehook::entry::permit::{
-    batch, elect, Allocator, Ask, Candidate, Envelope, Message, Reply, Room,
+    batch, elect, Allocator, Ask, Candidate, Envelope, Message, Reply, Room, Search,
     Unresponsive, Update,
 };
 use jujubehook::entry::{Heartbeat, Row, View};
@@ -441,6 +441,26 @@
     assert_eq!(refused, "`running` is 65536, the maximum is 65535");
 }
 
+/// Load: the own domain is full and names another one, which refuses. The queue of the own domain is asked before the
+/// caller is refused, and its answer is final.
+#[test]
+fn refused_elsewhere() {
+    let mut search = Search::new("north".into(), "north".into(), false);
+    assert!(search.start_ask() && !search.is_redirected());
+    search.redirect("south".into());
+    assert!(search.start_ask() && search.is_redirected());
+    assert_eq!(search.domain(), "south");
+    assert!(search.refused(), "the own queue was not asked");
+    assert!(search.start_ask() && search.is_redirected());
+    assert_eq!((search.domain(), search.asks()), ("north", 3));
+    assert!(!search.refused());
+    // A domain without a usable engine cannot serve the request.
+    let mut search = Search::new("south".into(), "north".into(), false);
+    assert!(search.start_ask() && !search.refused());
+    assert!(search.fall_back() && !search.fall_back());
+    assert_eq!((1..9).filter(|_| search.start_ask()).count(), 3);
+}
+
 /// Failure: fields of a heartbeat are encoded by position, so one that is left out takes the place of the next one. An
 /// instance that stops states a share of 0, also beside measured times.
 #[test]
