entry: Let the queue be looked at again after a panic

`ticking` stayed set when `tick_queue` panicked, so no later task looked at the queue. A guard resets it on drop. `panicked_tick` tests the guard.

--- a/src/entry/permit/mod.rs
+++ b/src/entry/permit/mod.rs
@@ -11,6 +11,7 @@
 mod message;
 mod returns;
 mod search;
+mod single;
 
 pub use allocator::{Allocator, Answered, Asker, Known, Room, Slots};
 pub use elect::{elect, Candidate, Unresponsive};
@@ -19,3 +20,4 @@
     MAX_EXCLUDED, MAX_PROCESSOR,
 };
 pub use search::Search;
+pub use single::Single;
--- a/src/entry/permits.rs
+++ b/src/entry/permits.rs
@@ -12,7 +12,7 @@
 
 use super::permit::{
     batch, elect, Allocator, Answered, Ask, Asker, Candidate, Envelope, Known, Message, Reply,
-    Room, Slots, Unresponsive, Update, MAX_PROCESSOR,
+    Room, Single, Slots, Unresponsive, Update, MAX_PROCESSOR,
 };
 use super::{Engine, Instance, Permit, TargetKey};
 use crate::event;
@@ -57,7 +57,7 @@
     last_ask: Cell<u64>,
     outbox: (Sender<Outgoing>, Receiver<Outgoing>),
     /// Whether a task looks at the queue.
-    ticking: Cell<bool>,
+    ticking: Rc<Cell<bool>>,
     unresponsive: RefCell<Unresponsive>,
 }
 
@@ -69,7 +69,7 @@
             // A reply to an earlier process at this address must not fit an ask of this one.
             last_ask: Cell::new(fastrand::u64(..) >> 1),
             outbox: async_channel::unbounded(),
-            ticking: Cell::default(),
+            ticking: Rc::default(),
             unresponsive: RefCell::default(),
         }
     }
@@ -342,21 +342,22 @@
             allocator.ask(asker, ask, &slots, now)
         };
         self.reply(answers);
-        if !self.permits.ticking.get() && self.permits.allocator.borrow().waiting() > 0 {
-            self.permits.ticking.set(true);
-            self.spawn("queue", self.clone().tick_queue());
+        if self.permits.allocator.borrow().waiting() > 0 {
+            if let Some(single) = Single::start(&self.permits.ticking) {
+                self.spawn("queue", self.clone().tick_queue(single));
+            }
         }
     }
 
     /// Looks at the queue until it is empty.
-    async fn tick_queue(self: Rc<Self>) {
+    async fn tick_queue(self: Rc<Self>, single: Single) {
         while self.permits.allocator.borrow().waiting() > 0 {
             Timer::after(TICK).await;
             let (now, slots) = (self.clock.now(), LocalSlots(&self));
             let answers = self.permits.allocator.borrow_mut().tick(&slots, now);
             self.reply(answers);
         }
-        self.permits.ticking.set(false);
+        drop(single);
     }
 
     fn receive_reply(&self, number: u64, reply: Reply, from: SocketAddr) {
--- a/tests/entry_permits.rs
+++ b/tests/entry_permits.rs
@@ -4,10 +4,12 @@
 mod permit_fixtures;
 
 use std::collections::BTreeSet;
+use std::panic::{catch_unwind, AssertUnwindSafe};
+use std::rc::Rc;
 
 use entry_fixtures::ms;
 use jujubehook::entry::permit::{
-    batch, elect, Allocator, Ask, Candidate, Envelope, Message, Reply, Room, Search,
+    batch, elect, Allocator, Ask, Candidate, Envelope, Message, Reply, Room, Search, Single,
     Unresponsive, Update,
 };
 use jujubehook::entry::{Heartbeat, Row, View};
@@ -461,6 +463,20 @@
     assert_eq!((1..9).filter(|_| search.start_ask()).count(), 3);
 }
 
+/// Failure: the task that looks at the queue panics. The next ask must be able to start it again.
+#[test]
+fn panicked_tick() {
+    let runs = Rc::default();
+    let single = Single::start(&runs).unwrap();
+    assert!(Single::start(&runs).is_none());
+    let task = AssertUnwindSafe(move || {
+        let _single = single;
+        panic!("a fault");
+    });
+    assert!(catch_unwind(task).is_err());
+    assert!(Single::start(&runs).is_some());
+}
+
 /// Failure: fields of a heartbeat are encoded by position, so one that is left out takes the place of the next one. An
 /// instance that stops states a share of 0, also beside measured times.
 #[test]
