entry: Count only ends of short prompts in the rate of free slots

`FreeRate` counted the end of each request at a target, also of plain services and long prompts, as a slot that becomes free for short prompts, so it promised slots that did not come.

An update says `ended` only for requests with short prompts. The format of the messages is unchanged. `ends_that_free` tests which ends count.

--- a/src/entry/permit/message.rs
+++ b/src/entry/permit/message.rs
@@ -123,7 +123,8 @@
     pub prefill: Option<Prefill>,
     /// Permit that the request uses; 0 without one.
     pub permit: u64,
-    /// Whether a request ended, so that a slot is free.
+    /// Whether a request with a short prompt ended, so that a slot for one is free. The slots of others are found free by
+    /// the next look at the queue.
     pub ended: bool,
 }
 
--- a/src/entry/permits.rs
+++ b/src/entry/permits.rs
@@ -14,7 +14,7 @@
     batch, elect, Allocator, Answered, Ask, Asker, Candidate, Envelope, Known, Message, Reply,
     Room, Single, Slots, Unresponsive, Update, MAX_PROCESSOR,
 };
-use super::{Engine, Instance, Permit, TargetKey};
+use super::{Engine, Instance, Permit, TargetKey, Work};
 use crate::event;
 
 /// Time after which an ask without a reply is repeated: several times the way to another domain and back.
@@ -249,8 +249,8 @@
     }
 
     /// Announces that a request ended at a target.
-    pub(super) fn announce_end(&self, target: TargetKey) {
-        self.announce(target, None, 0, true);
+    pub(super) fn announce_end(&self, work: &Work) {
+        self.announce(work.primary, None, 0, work.frees_slot());
     }
 
     fn announce(&self, target: TargetKey, number: Option<u64>, permit: u64, ended: bool) {
--- a/src/entry/serve/in_flight.rs
+++ b/src/entry/serve/in_flight.rs
@@ -35,8 +35,8 @@
     /// for others.
     pub(in crate::entry) fn leave_view(&self) {
         let finished = self.instance.view.borrow_mut().finish(self.number);
-        if let Some(target) = finished {
-            self.instance.announce_end(target);
+        if let Some(work) = finished {
+            self.instance.announce_end(&work);
         }
     }
 }
--- a/src/entry/serve/send.rs
+++ b/src/entry/serve/send.rs
@@ -153,8 +153,8 @@
                 // The engines end the request if the memory has expired there too.
                 Loss::Expired => {
                     let finished = instance.view.borrow_mut().finish(number);
-                    if let Some(target) = finished {
-                        instance.announce_end(target);
+                    if let Some(work) = finished {
+                        instance.announce_end(&work);
                     }
                     self.expired.close();
                     std::future::pending().await
--- a/src/entry/view.rs
+++ b/src/entry/view.rs
@@ -48,6 +48,14 @@
     pub tokens: u32,
 }
 
+impl Work {
+    /// Whether its end frees a slot for another request with a short prompt: only the ends of such requests tell the rate
+    /// at which they can be served.
+    pub fn frees_slot(&self) -> bool {
+        self.short
+    }
+}
+
 /// A slot that this instance granted and whose use is not confirmed yet.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Permit {
@@ -202,8 +210,8 @@
         }
     }
 
-    /// Removes a request; returns the target that got it, if the request was still there and not only held.
-    pub fn finish(&mut self, number: u64) -> Option<TargetKey> {
+    /// Removes a request; returns its work, if the request was still there and not only held.
+    pub fn finish(&mut self, number: u64) -> Option<Work> {
         let found = self
             .own
             .binary_search_by_key(&number, |request| request.number);
@@ -215,7 +223,7 @@
             }
             Ok(_) | Err(_) => {}
         }
-        removed.filter(|work| !work.held).map(|work| work.primary)
+        removed.filter(|work| !work.held)
     }
 
     /// Work of this instance at one target, and the prompt of the request `number`, for an update.
--- a/tests/entry_permits.rs
+++ b/tests/entry_permits.rs
@@ -12,7 +12,7 @@
     batch, elect, Allocator, Ask, Candidate, Envelope, Message, Reply, Room, Search, Single,
     Unresponsive, Update,
 };
-use jujubehook::entry::{Heartbeat, Row, View};
+use jujubehook::entry::{Heartbeat, Row, View, Work};
 use permit_fixtures::{ask, replies, Domain};
 
 /// The number of a grant's permit.
@@ -477,6 +477,31 @@
     assert!(Single::start(&runs).is_some());
 }
 
+/// Load: requests of plain services and long prompts end beside those with short prompts. Only the latter count in the rate
+/// by which the wait of short prompts is predicted.
+#[test]
+fn ends_that_free() {
+    let mut view = View::default();
+    let mut frees = |short, helpers: &[(u32, u32)], part| {
+        let number = view.start(Work {
+            background: false,
+            gap: ms(250),
+            held: false,
+            helpers: helpers.to_vec(),
+            part_time: ms(part),
+            primary: 7,
+            rank: 0,
+            short,
+            start: ms(0),
+            tokens: 100,
+        });
+        view.finish(number).map(|work| work.frees_slot())
+    };
+    assert_eq!(frees(true, &[], 30), Some(true));
+    assert_eq!(frees(false, &[(8, 0)], 90), Some(false), "a long prompt");
+    assert_eq!(frees(false, &[], 0), Some(false), "a plain service");
+}
+
 /// Failure: fields of a heartbeat are encoded by position, so one that is left out takes the place of the next one. An
 /// instance that stops states a share of 0, also beside measured times.
 #[test]
