entry: Let permits outlast the time between two heartbeats

A permit counted for 300 ms. If the update that reports the start was lost, the next heartbeat reports it, but above about 130 instances heartbeats are more than 300 ms apart, and the slot was granted twice.

A permit now counts for the time between two heartbeats and 150 ms, at least 300 ms: unchanged up to 56 instances. It costs no messages; a slot whose grant is lost stays taken for as long. `lost_update` fails with 300 ms.

--- a/examples/permit_cost.rs
+++ b/examples/permit_cost.rs
@@ -45,6 +45,10 @@
         })
     }
 
+    fn heartbeat_interval(&self) -> Duration {
+        Duration::from_millis(40 + 2 * INSTANCES)
+    }
+
     fn grant(&self, permit: Permit) {
         if let Some(view) = &self.view {
             view.borrow_mut().grant(permit.clone());
--- a/src/entry/permit/allocator.rs
+++ b/src/entry/permit/allocator.rs
@@ -13,8 +13,12 @@
 /// Maximum number of requests that wait at one allocator: more than can be served within any objective.
 const CAPACITY: usize = 256;
 
-/// Time for which a granted slot counts as taken without a confirmation: several times the longest way of a message.
-const PERMIT_TIME: Duration = Duration::from_millis(300);
+/// Minimum time for which a granted slot counts as taken without a confirmation: several times the longest way of a
+/// message.
+const MIN_PERMIT_TIME: Duration = Duration::from_millis(300);
+
+/// Longest way of a heartbeat, and the time by which a busy instance sends it late.
+const HEARTBEAT_DELAY: Duration = Duration::from_millis(150);
 
 /// Time without a repeated ask after which a waiting request is dropped: its instance repeats it every 100 ms.
 const ASK_TIMEOUT: Duration = Duration::from_millis(350);
@@ -84,6 +88,9 @@
     /// What is known now for a decision on this ask; none if its service is not known.
     fn known(&self, ask: &Ask) -> Option<Known>;
 
+    /// Time between two heartbeats of an instance.
+    fn heartbeat_interval(&self) -> Duration;
+
     /// Adds a granted slot to the load of its engine.
     fn grant(&self, permit: Permit);
 }
@@ -390,7 +397,7 @@
         let permit = self.number();
         let target: TargetKey = placement.primary.key();
         slots.grant(Permit {
-            expires: now.saturating_add(PERMIT_TIME),
+            expires: now.saturating_add(permit_time(slots.heartbeat_interval())),
             gap: Duration::from_millis(u64::from(ask.gap_ms)),
             number: permit,
             part_time: placement.part_time,
@@ -485,6 +492,12 @@
     }
 }
 
+/// Time for which a granted slot counts as taken without a confirmation. If the update that reports the start is lost, the
+/// next heartbeat reports it, and the slot must not be granted again before.
+fn permit_time(heartbeat_interval: Duration) -> Duration {
+    MIN_PERMIT_TIME.max(heartbeat_interval.saturating_add(HEARTBEAT_DELAY))
+}
+
 fn millis(time: Duration) -> u32 {
     u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
 }
--- a/src/entry/permits.rs
+++ b/src/entry/permits.rs
@@ -421,6 +421,10 @@
         })
     }
 
+    fn heartbeat_interval(&self) -> Duration {
+        super::peer::interval(self.0)
+    }
+
     fn grant(&self, permit: Permit) {
         self.0.view.borrow_mut().grant(permit);
     }
--- a/tests/entry_permits.rs
+++ b/tests/entry_permits.rs
@@ -296,6 +296,9 @@
         fn known(&self, ask: &Ask) -> Option<jujubehook::entry::permit::Known> {
             (ask.number != 2).then(|| self.0.known(ask)).flatten()
         }
+        fn heartbeat_interval(&self) -> std::time::Duration {
+            self.0.heartbeat_interval()
+        }
         fn grant(&self, permit: jujubehook::entry::Permit) {
             self.0.grant(permit);
         }
@@ -443,6 +446,25 @@
     assert_eq!(refused, "`running` is 65536, the maximum is 65535");
 }
 
+/// Failure: the update that reports a start is lost at 200 instances, whose heartbeats are 438 ms apart. The slot must not
+/// be granted again before the heartbeat that reports the start.
+#[test]
+fn lost_update() {
+    let (mut domain, mut allocator) = (Domain::new(1, 1), Allocator::new(1));
+    domain.interval = ms(438);
+    domain.view.borrow_mut().receive(&heartbeat(1, &[]), ms(0));
+    permit(&domain.ask(&mut allocator, ask(1), ms(0))[0].1);
+    for now in [310, 440] {
+        let answers = domain.ask(&mut allocator, ask(now), ms(now));
+        assert_eq!(answers, [(now, Reply::Queued)]);
+    }
+    let mut started = heartbeat(2, &[]);
+    started.rows = vec![row(domain.engines[0].key)];
+    domain.view.borrow_mut().receive(&started, ms(580));
+    domain.now.set(ms(600));
+    assert_eq!(allocator.tick(&domain, ms(600)), []);
+}
+
 /// Load: the own domain is full and names another one, which refuses. The queue of the own domain is asked before the
 /// caller is refused, and its answer is final.
 #[test]
--- a/tests/permit_fixtures/mod.rs
+++ b/tests/permit_fixtures/mod.rs
@@ -15,6 +15,8 @@
 pub(crate) struct Domain {
     pub(crate) elsewhere: Vec<Room>,
     pub(crate) engines: Vec<Engine>,
+    /// Time between two heartbeats.
+    pub(crate) interval: Duration,
     pub(crate) now: Cell<Duration>,
     pub(crate) profile: Profile,
     pub(crate) view: RefCell<View>,
@@ -26,6 +28,7 @@
         Domain {
             elsewhere: Vec::new(),
             engines: engines(count),
+            interval: Duration::from_millis(40),
             now: Cell::default(),
             profile: Profile { slots, ..profile() },
             view: RefCell::default(),
@@ -66,6 +69,10 @@
         })
     }
 
+    fn heartbeat_interval(&self) -> Duration {
+        self.interval
+    }
+
     fn grant(&self, permit: Permit) {
         self.view.borrow_mut().grant(permit);
     }
