--- a/src/entry/permit/mod.rs
+++ b/src/entry/permit/mod.rs
@@ -6,12 +6,18 @@
 //! the requests that wait for one. `docs/design/permits.md` describes the messages and what happens when a part fails.
 
 mod allocator;
+mod blocked;
 mod elect;
 mod message;
 mod returns;
+mod search;
+mod single;
 
 pub use allocator::{Allocator, Answered, Asker, Known, Room, Slots};
 pub use elect::{elect, Candidate, Unresponsive};
 pub use message::{
-    batch, check_row, Ask, Envelope, Malformed, Message, Reply, Update, MAX_EXCLUDED,
+    batch, check_processor, check_row, Ask, Envelope, Malformed, Message, Reply, Update,
+    MAX_EXCLUDED, MAX_PROCESSOR,
 };
+pub use search::Search;
+pub use single::Single;
--- a/src/entry/permits.rs
+++ b/src/entry/permits.rs
@@ -12,9 +12,9 @@
 
 use super::permit::{
     batch, elect, Allocator, Answered, Ask, Asker, Candidate, Envelope, Known, Message, Reply,
-    Room, Slots, Unresponsive, Update,
+    Room, Single, Slots, Unresponsive, Update, MAX_PROCESSOR,
 };
-use super::{Engine, Instance, Permit, TargetKey};
+use super::{Engine, Instance, Permit, TargetKey, Work};
 use crate::event;
 
 /// Time after which an ask without a reply is repeated: several times the way to another domain and back.
@@ -57,7 +57,7 @@
     last_ask: Cell<u64>,
     outbox: (Sender<Outgoing>, Receiver<Outgoing>),
     /// Whether a task looks at the queue.
-    ticking: Cell<bool>,
+    ticking: Rc<Cell<bool>>,
     unresponsive: RefCell<Unresponsive>,
 }
 
@@ -69,7 +69,7 @@
             // A reply to an earlier process at this address must not fit an ask of this one.
             last_ask: Cell::new(fastrand::u64(..) >> 1),
             outbox: async_channel::unbounded(),
-            ticking: Cell::default(),
+            ticking: Rc::default(),
             unresponsive: RefCell::default(),
         }
     }
@@ -165,7 +165,7 @@
         let settings = self.settings.borrow();
         match self.is_stopping() || settings.permit_instances.is_none() {
             true => 0,
-            false => (settings.processor * 1e3) as u32,
+            false => ((settings.processor * 1e3) as u32).min(MAX_PROCESSOR),
         }
     }
 
@@ -249,8 +249,8 @@
     }
 
     /// Announces that a request ended at a target.
-    pub(super) fn announce_end(&self, target: TargetKey) {
-        self.announce(target, None, 0, true);
+    pub(super) fn announce_end(&self, work: &Work) {
+        self.announce(work.primary, None, 0, work.frees_slot());
     }
 
     fn announce(&self, target: TargetKey, number: Option<u64>, permit: u64, ended: bool) {
@@ -342,21 +342,22 @@
             allocator.ask(asker, ask, &slots, now)
         };
         self.reply(answers);
-        if !self.permits.ticking.get() && self.permits.allocator.borrow().waiting() > 0 {
-            self.permits.ticking.set(true);
-            self.spawn("queue", self.clone().tick_queue());
+        if self.permits.allocator.borrow().waiting() > 0 {
+            if let Some(single) = Single::start(&self.permits.ticking) {
+                self.spawn("queue", self.clone().tick_queue(single));
+            }
         }
     }
 
     /// Looks at the queue until it is empty.
-    async fn tick_queue(self: Rc<Self>) {
+    async fn tick_queue(self: Rc<Self>, single: Single) {
         while self.permits.allocator.borrow().waiting() > 0 {
             Timer::after(TICK).await;
             let (now, slots) = (self.clock.now(), LocalSlots(&self));
             let answers = self.permits.allocator.borrow_mut().tick(&slots, now);
             self.reply(answers);
         }
-        self.permits.ticking.set(false);
+        drop(single);
     }
 
     fn receive_reply(&self, number: u64, reply: Reply, from: SocketAddr) {
@@ -420,6 +421,10 @@
         })
     }
 
+    fn heartbeat_interval(&self) -> Duration {
+        super::peer::interval(self.0)
+    }
+
     fn grant(&self, permit: Permit) {
         self.0.view.borrow_mut().grant(permit);
     }
--- a/src/entry/view/mod.rs
+++ b/src/entry/view/mod.rs
@@ -82,8 +82,8 @@
         }
     }
 
-    /// Removes a request; returns the target that got it, if the request was still there and not only held.
-    pub fn finish(&mut self, number: u64) -> Option<TargetKey> {
+    /// Removes a request; returns its work, if the request was still there and not only held.
+    pub fn finish(&mut self, number: u64) -> Option<Work> {
         let found = self
             .own
             .binary_search_by_key(&number, |request| request.number);
@@ -99,7 +99,7 @@
             Ok(_) | Err(_) => {}
         }
         let removed = removed.map(|request| request.work);
-        removed.filter(|work| !work.held).map(|work| work.primary)
+        removed.filter(|work| !work.held)
     }
 
     /// Work of this instance at one target, and the prompt of the request `number`, for an update.
--- a/src/entry/view/work.rs
+++ b/src/entry/view/work.rs
@@ -26,3 +26,11 @@
     /// Tokens of context at the primary target.
     pub tokens: u32,
 }
+
+impl Work {
+    /// Whether its end frees a slot for another request with a short prompt: only the ends of such requests tell the rate
+    /// at which they can be served.
+    pub fn frees_slot(&self) -> bool {
+        self.short
+    }
+}
