entry: Hedge the slowest requests instead of the first slow ones

With `quantile` 0.95 and `ratio` 0.02 the hedge budget lasted for two fifths of the slow requests, and went to those that came first, also on routes whose responses take a few milliseconds. Few instances with few requests ever had a whole hedge.

- The delay is the time at the larger of `quantile` and 1 - `ratio`, and at least a quarter of the objective since the arrival.
- An instance starts with one hedge for each service instead of a random part of one.
- Times are rounded up to milliseconds.
Rounded down, a route with responses of 2 to 3 ms had a quantile of 2 ms, and nearly all its requests were slow.

The route of the fixture gets an objective of 200 ms, so that its slow answers are later than the minimum delay.

--- a/src/entry/hedge/budget.rs
+++ b/src/entry/hedge/budget.rs
@@ -4,11 +4,17 @@
 /// could never hedge; each more may be sent in addition in a single window.
 pub const MAX_TOKENS: f64 = 2.0;
 
+/// Hedges of a service that an instance may send when it starts.
+///
+/// Among many instances with few requests each, most slow requests are at an instance that has not earned a hedge yet. With
+/// a random part of a hedge at the start, 36 instances with 2.7 requests per second withheld three of four hedges, although
+/// all instances together stayed far below their share.
+pub const START_TOKENS: f64 = 1.0;
+
 /// Hedges that this instance may send, by service.
 ///
-/// Each request of the service earns a share of a hedge, and each hedge costs a whole one. An instance starts with a part
-/// of one that is drawn at random: of many instances with few requests each, some reach a whole hedge early, and all
-/// together send that share of their requests on average. With nothing at the start, none of them would ever send one.
+/// Each request of the service earns a share of a hedge, and each hedge costs a whole one. All instances together send at
+/// most that share of their requests, and what they start with.
 #[derive(Clone, Debug, Default)]
 pub struct Budget {
     /// Sorted by service.
--- a/src/entry/hedge/mod.rs
+++ b/src/entry/hedge/mod.rs
@@ -5,11 +5,13 @@
 
 mod budget;
 mod decision;
+mod delay;
 mod outbox;
 mod times;
 
-pub use budget::{Budget, MAX_TOKENS};
+pub use budget::{Budget, MAX_TOKENS, START_TOKENS};
 pub use decision::{decide, Reason, Situation};
+pub use delay::{hedge_at, slow_quantile, OBJECTIVE_DIVISOR};
 pub use outbox::{Outbox, MAX_SAMPLES};
 pub use times::{Times, MIN_SAMPLES};
 
@@ -21,6 +23,8 @@
 /// Longest time that a sample may have.
 pub const MAX_TIME: Duration = Duration::from_secs(3_600);
 
+const NANOS_PER_MS: u128 = 1_000_000;
+
 /// Short form of a route's name in samples: the low half of its hash.
 pub type RouteKey = u32;
 
@@ -52,7 +56,7 @@
 impl Default for Hedging {
     fn default() -> Hedging {
         Hedging {
-            budget: Budget::starting_at(fastrand::f64()),
+            budget: Budget::starting_at(START_TOKENS),
             outbox: Outbox::default(),
             times: Times::default(),
         }
@@ -61,8 +65,12 @@
 
 impl Hedging {
     /// Adds a time that this instance measured. It is limited to the timeout of the route, which a timer may exceed.
+    ///
+    /// The time is rounded up: rounded down, a route whose responses take 2 to 3 ms would have a quantile of 2 ms, which
+    /// nearly all its requests exceed.
     pub fn measure(&mut self, route: RouteKey, took: Duration, timeout: Duration, now: Duration) {
-        let millis = took.min(timeout).min(MAX_TIME).as_millis();
+        let longest = timeout.min(MAX_TIME).as_millis();
+        let millis = took.as_nanos().div_ceil(NANOS_PER_MS).min(longest);
         let sample = (route, u32::try_from(millis).unwrap_or(u32::MAX));
         self.times.record(sample, now);
         self.outbox.push(sample);
--- a/src/entry/serve/hedge.rs
+++ b/src/entry/serve/hedge.rs
@@ -6,7 +6,9 @@
 use super::attempt::Attempt;
 use super::open::{Opening, Progress, Search};
 use super::{Exchange, InFlight, RouteKind};
-use crate::entry::hedge::{are_possible, decide, route_key, Reason, Situation};
+use crate::entry::hedge::{
+    are_possible, decide, hedge_at, route_key, slow_quantile, Reason, Situation,
+};
 use crate::entry::{pick, place, Choice, Engine, Heartbeat, Instance, Placement, Target};
 use crate::event;
 
@@ -43,8 +45,9 @@
             return None;
         }
         let instance = &self.instance;
-        let time = instance.hedge_time(&self.route.name)?;
-        Some(instance.clock.now().saturating_add(time))
+        let slow = instance.hedge_time(&self.route.name)?;
+        let (arrival, sent) = (self.arrival, instance.clock.now());
+        Some(hedge_at(arrival, self.route.objective, sent, slow))
     }
 
     /// Waits until the first send counts as slow; forever without that time.
@@ -211,9 +214,10 @@
 }
 
 impl Instance {
-    /// Time after which a request of this route is hedged; none if hedging is off or too few times were measured.
+    /// Time that makes a send of this route slow; none if hedging is off or too few times were measured.
     pub fn hedge_time(&self, route: &str) -> Option<Duration> {
-        let quantile = self.settings.borrow().hedge?.quantile;
+        let hedge = self.settings.borrow().hedge?;
+        let quantile = slow_quantile(hedge.quantile, hedge.ratio);
         let times = &mut self.hedging.borrow_mut().times;
         times.quantile(route_key(route), quantile, self.clock.now())
     }
--- a/src/entry/settings.rs
+++ b/src/entry/settings.rs
@@ -6,7 +6,8 @@
 /// Limits of hedged requests.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Hedge {
-    /// Share of the requests of a route that are answered in time; a request that takes longer is hedged.
+    /// Share of the requests of a route that are answered in time; a request that takes longer is hedged. Raised to
+    /// 1 - `ratio` if it is lower.
     pub quantile: f64,
     /// Hedges of all instances together, as a share of the requests of a service.
     pub ratio: f64,
--- a/tests/entry_core/mod.rs
+++ b/tests/entry_core/mod.rs
@@ -93,6 +93,7 @@
             Route {
                 max_attempts: 2,
                 name: "safe".into(),
+                objective: ms(200),
                 ..route("/safe/", RouteKind::Repeatable)
             },
             Route {
