entry: Review a configuration before it is in force

`entry::review` reports errors, entries that can never match, contradictory limits and differences from the version in force.

--- a/src/entry/engine.rs
+++ b/src/entry/engine.rs
@@ -70,8 +70,7 @@
 
     /// Tokens of context that still fit. A reserve is left for what other instances send before their next heartbeat.
     pub fn free_tokens(&self, profile: &Profile) -> u32 {
-        let usable = (f64::from(profile.memory_tokens) * USED_MEMORY) as u32;
-        usable.saturating_sub(self.load.tokens)
+        usable_tokens(profile).saturating_sub(self.load.tokens)
     }
 
     /// Whether a slot is free and the engine may get a request.
@@ -80,3 +79,8 @@
         self.admits && self.load.running < slots
     }
 }
+
+/// Tokens of context that an empty engine takes.
+pub(super) fn usable_tokens(profile: &Profile) -> u32 {
+    (f64::from(profile.memory_tokens) * USED_MEMORY) as u32
+}
--- a/src/entry/mod.rs
+++ b/src/entry/mod.rs
@@ -46,6 +46,7 @@
 mod relay;
 mod request;
 mod reservation;
+pub mod review;
 mod serve;
 mod settings;
 mod slowdown;
