platform: Let callers pause for as long as their route allows

Cause: TCP_USER_TIMEOUT (3 s) also counts the time with a closed window, although the caller acknowledges each probe. ss on the unchanged program: persist timer, 1,045,691 bytes unsent, last acknowledgement 0.4 to 1.1 s old, window limited for 100 % of the time, connection gone 3 s after the window closed. tcp(7) documents it.

The timeout of a caller's connection is now the pause that the route allows: the patience of a stream, otherwise the timeout of the route, at least 3 s. Connections to targets keep 3 s.

The kernel (6.18) restarts the time only when the first entry of the send queue, up to 64 KiB, fits into the window, so that it counted over several pauses, and over steady but slow reading.

Before: paused_stream_continues, unheld_stream_continues and paused_answer_arrives failed (reset).

--- a/src/entry/answer.rs
+++ b/src/entry/answer.rs
@@ -29,6 +29,8 @@
         content: Content,
         /// Headers.
         headers: HeaderMap,
+        /// Time for which the caller may stop reading.
+        max_pause: Duration,
         /// Status.
         status: StatusCode,
     },
--- a/src/entry/config.rs
+++ b/src/entry/config.rs
@@ -92,6 +92,14 @@
         MIN_PATIENCE.max(self.objective * 4).max(self.gap * 8)
     }
 
+    /// Time for which a caller may stop reading its answer.
+    pub fn max_pause(&self) -> Duration {
+        match self.kind {
+            RouteKind::Once | RouteKind::Repeatable => self.timeout,
+            RouteKind::Stream { .. } => self.patience(),
+        }
+    }
+
     /// The service for a request with this hash; the same for each hash as long as the weights stay.
     pub fn service(&self, hash: u64) -> Option<&str> {
         let total: u64 = self
--- a/src/entry/serve/mod.rs
+++ b/src/entry/serve/mod.rs
@@ -152,6 +152,7 @@
         let open = async { Some(exchange.open(request.last_event_id).await) };
         let opened = or(open, ended).await;
         unanswered.is_answered = true;
+        let max_pause = exchange.route.max_pause();
         let opened = match opened {
             Some(opened) => opened,
             None => Opening::GivenUp(exchange.interrupted()),
@@ -168,13 +169,14 @@
                 Answer::Reply {
                     content: Content::Streamed(Box::new(relay)),
                     headers,
+                    max_pause,
                     status,
                 }
             }
             Opening::Answer(reply) => {
                 self.finish(kind, &request.id, arrival, reply.status.as_str());
                 exchange.explain_lateness();
-                reply.into()
+                reply.into_answer(max_pause)
             }
             Opening::GivenUp(given_up) => {
                 self.finish(kind, &request.id, arrival, given_up.kind.name());
@@ -183,7 +185,7 @@
                     exchange.explain_lateness();
                 }
                 match given_up.answered {
-                    Some(reply) => reply.into(),
+                    Some(reply) => reply.into_answer(max_pause),
                     None => Answer::Refusal {
                         kind: given_up.kind,
                         retry: given_up.retry,
--- a/src/entry/serve/outcome.rs
+++ b/src/entry/serve/outcome.rs
@@ -58,12 +58,14 @@
     pub(super) status: StatusCode,
 }
 
-impl From<Buffered> for Answer {
-    fn from(reply: Buffered) -> Answer {
+impl Buffered {
+    /// The answer to a caller that may stop reading for this time.
+    pub(super) fn into_answer(self, max_pause: Duration) -> Answer {
         Answer::Reply {
-            content: Content::Buffered(reply.body),
-            headers: reply.headers,
-            status: reply.status,
+            content: Content::Buffered(self.body),
+            headers: self.headers,
+            max_pause,
+            status: self.status,
         }
     }
 }
