Limit the pauses of callers while engines keep memory for them

A caller whose link is cut cannot be told from one that does not read. With the pause that its route allows, memory that is reserved at engines for such a caller was kept for more than the 4 s within which it has to be free.

--- a/http/src/lib.rs
+++ b/http/src/lib.rs
@@ -14,6 +14,7 @@
 mod socket;
 mod sse;
 mod traffic;
+mod written;
 
 pub use client::Client;
 pub use client::Connection;
@@ -31,3 +32,4 @@
 pub use server::Server;
 pub use sse::Events;
 pub use traffic::Traffic;
+pub use written::{Watched, Written};
--- a/platform/src/written.rs
+++ b/http/src/written.rs
@@ -9,25 +9,27 @@
 
 /// Whether everything that was to be sent on a connection has been handed to the operating system.
 #[derive(Clone, Debug, Default)]
-pub(crate) struct Written {
+pub struct Written {
     is_partial: Rc<Cell<bool>>,
 }
 
 /// A stream that records whether it was flushed after the last write. The HTTP client flushes it only when its own
 /// buffer, which has a whole request, is empty.
-pub(crate) struct Watched {
+pub struct Watched {
     stream: TcpStream,
     written: Written,
 }
 
 impl Written {
-    pub(crate) fn is_complete(&self) -> bool {
+    /// Whether nothing waits to be handed to the operating system.
+    pub fn is_complete(&self) -> bool {
         !self.is_partial.get()
     }
 }
 
 impl Watched {
-    pub(crate) fn new(stream: TcpStream) -> (Watched, Written) {
+    /// Watches a stream.
+    pub fn new(stream: TcpStream) -> (Watched, Written) {
         let written = Written::default();
         let watched = Watched {
             stream,
--- a/src/entry/relay.rs
+++ b/src/entry/relay.rs
@@ -78,6 +78,15 @@
 }
 
 impl Relay {
+    /// Time for which the caller may stop reading. A caller whose link is cut cannot be told from one that does not read,
+    /// so it gets no more than the minimum while engines keep memory for it: that has to be free soon after it has left.
+    pub fn max_pause(&self) -> Duration {
+        match self.loss {
+            Some(_) => Duration::ZERO,
+            None => self.exchange.route.max_pause(),
+        }
+    }
+
     /// A stream whose first events have arrived.
     pub(super) fn new(mut exchange: Exchange, opened: Opened) -> Relay {
         exchange.begin_stream(&opened.headers);
--- a/src/entry/serve/mod.rs
+++ b/src/entry/serve/mod.rs
@@ -167,9 +167,9 @@
                 let (status, headers) = (opened.status, opened.headers.clone());
                 let relay = Relay::new(exchange, *opened);
                 Answer::Reply {
+                    max_pause: relay.max_pause(),
                     content: Content::Streamed(Box::new(relay)),
                     headers,
-                    max_pause,
                     status,
                 }
             }
