--- a/review/common-2/world.py
+++ b/review/common-2/world.py
@@ -184,10 +184,10 @@
             return c.recv(100).startswith(b'HTTP/1.1 200')
         except OSError: return False
     def signal(s, n): s.p.send_signal(n)
-    def rss(s):
+    def rss(s, field='VmRSS'):
         try:
             for l in open('/proc/%d/status' % s.p.pid):
-                if l.startswith('VmRSS'): return int(l.split()[1]) / 1024
+                if l.startswith(field): return int(l.split()[1]) / 1024
         except OSError: pass
         return 0
     def connect(s, timeout=30):
