Review cases 7 to 9: keep the output of a process that is not ready

Cause: on arm64, one run of case 8 ended with "edge-0 is not ready", and nothing told why: the output of the process was removed.

Change: `wait_ready` records the exit code, the ports and the output of a process that is not ready in time; the ports of a deployment are drawn while all of them are open.

--- a/review/common-2/world.py
+++ b/review/common-2/world.py
@@ -155,7 +155,10 @@
     s = socket.socket(socket.AF_INET, kind); s.bind((ip, 0)); p = s.getsockname()[1]; s.close(); return p
 class Ports:
     def __init__(s):
-        s.front, s.ready, s.peer, s.control = [free_port('127.0.0.1') for _ in range(4)]
+        sockets = [socket.socket() for _ in range(4)]
+        for one in sockets: one.bind(('127.0.0.1', 0))    # all are open at the same time, so that no port comes twice
+        s.front, s.ready, s.peer, s.control = [one.getsockname()[1] for one in sockets]
+        for one in sockets: one.close()
 class Process:
     def __init__(s, store, name, ip, ports, zone='z-a', seeds=(), memory=182, bounds=None):
         s.name, s.ip, s.ports = name, ip, ports
@@ -176,6 +179,7 @@
         while time.monotonic() < end:
             if s.is_ready(): return True
             time.sleep(0.05)
+        log(s.name, 'is not ready; exit code', s.p.poll(), 'ports', vars(s.ports), 'the end of its output:', open(s.dir + '/log', errors='replace').read()[-4000:])
         return False
     def is_ready(s):
         try:
